--- /dev/null
+++ b/modules/base/include/lovageledge/base/digest.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace lovageledge {
+
+/** @returns the SHA-256 digest of the bytes as 64 hexadecimal digits. Thread-safe. */
+std::string sha256_hex(std::string_view bytes);
+
+/** Rendezvous hashing weight of a candidate for a key (highest random weight, Thaler and Ravishankar 1998).
+    The key's candidate with the greatest weight is chosen. Thread-safe.
+    @returns a weight that is uniform over candidates */
+std::uint64_t rendezvous_weight(std::string_view key, std::string_view candidate);
+
+/** @returns an identifier of 128 random bits as hexadecimal digits, for starts and requests. Thread-safe. */
+std::string random_identifier();
+
+} // namespace lovageledge
--- /dev/null
+++ b/modules/base/include/lovageledge/base/event_log.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string_view>
+
+namespace lovageledge {
+
+/** The numbered events of the log; docs/EVENTS.md is their catalogue and a test keeps both alike. */
+enum class event : std::uint16_t {
+    instance_started = 100,
+    instance_stopping = 101,
+    instance_stopped = 102,
+    peer_suspected = 110,
+    peer_returned = 111,
+    peer_restarted = 112,
+    configuration_adopted = 200,
+    configuration_rejected = 201,
+    ownership_taken = 300,
+    ownership_lost = 301,
+    ownership_handed_over = 302,
+    holder_drained = 303,
+    ownership_conflict = 304,
+    server_ready = 310,
+    server_lost = 311,
+    server_leaving = 312,
+    request_routed = 400,
+    request_refused = 401,
+    request_finished = 402,
+    request_retried = 403,
+    request_claimed = 404,
+    request_duplicate = 405,
+    request_cancelled = 406,
+    adapter_load_ordered = 500,
+    adapter_load_failed = 501,
+    adapter_evict_ordered = 502,
+    adapter_uncertain = 503,
+    evict_intents_recorded = 504,
+    load_budget_granted = 510,
+    fingerprint_suspected = 600,
+    fingerprint_quarantined = 601,
+    fingerprint_cleared = 602,
+};
+
+/** Receives one line per event. Called on the thread that decided, under that decision's lock. */
+using event_log = std::function<void(event, std::string_view)>;
+
+} // namespace lovageledge
--- /dev/null
+++ b/modules/base/runtime_clock.cpp
@@ -0,0 +1,25 @@
+#include "lovageledge/base/runtime_clock.hpp"
+
+#include <cassert>
+
+namespace lovageledge {
+
+time_point runtime_clock::now() const {
+    if (is_paused_.load()) {
+        return time_point{duration{paused_at_.load()}};
+    }
+    return std::chrono::steady_clock::now();
+}
+
+void runtime_clock::pause() {
+    paused_at_.store(now().time_since_epoch().count());
+    is_paused_.store(true);
+}
+
+void runtime_clock::advance(duration step) {
+    assert(is_paused_.load());
+    assert(step >= duration::zero());
+    paused_at_.fetch_add(step.count());
+}
+
+} // namespace lovageledge
--- /dev/null
+++ b/modules/coordination/include/lovageledge/coordination/command.hpp
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "lovageledge/protocol/protocol.hpp"
+#include "lovageledge/state/state.hpp"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace lovageledge {
+
+/** One attempt of a request at a backend server. */
+struct attempt_id {
+    request_id request;
+    std::uint32_t attempt = 0;
+
+    auto operator<=>(const attempt_id&) const = default;
+};
+
+/** What became of a request, with the step and the peer at which it ended. */
+struct request_result {
+    protocol::Outcome outcome = protocol::UNKNOWN;
+    error why;
+    /** Suggested pause before the caller tries again; only for requests that were not run. */
+    std::chrono::milliseconds retry_after{0};
+    /** True if an earlier request holds the same key; outcome and why then tell of that one. */
+    bool is_duplicate = false;
+};
+
+enum class platform_operation : std::uint8_t { get, put, remove, watch, list_instances };
+
+enum class platform_status : std::uint8_t {
+    ok,
+    conflict,
+    not_found,
+    /** No answer: the operation may have taken effect. */
+    unavailable,
+};
+
+/** The platform's answer to a call. */
+struct platform_answer {
+    platform_status status = platform_status::unavailable;
+    std::uint64_t version = 0;
+    std::string data;
+};
+
+/** Send a message to a peer, in order with the earlier ones to it. */
+struct send_peer {
+    instance_name to;
+    protocol::Envelope message;
+};
+
+/** Call the platform; the answer goes to node::on_platform_answer(). */
+struct call_platform {
+    std::uint64_t call = 0;
+    platform_operation operation = platform_operation::get;
+    std::string kind;
+    std::string name;
+    /** For put and remove: the version to replace, 0 to create. For watch: answer once it differs. */
+    std::uint64_t if_version = 0;
+    std::string data;
+};
+
+/** Run a request on an engine; tokens and the end go to node::on_dispatch_progress() and _ended().
+    It is sent only on a connection whose engine has told this start id, so that a restarted engine never
+    gets a request that was admitted for its former start. */
+struct dispatch_request {
+    server_name server;
+    std::string address;
+    start_id start;
+    attempt_id id;
+    protocol::RequestSpec spec;
+};
+
+/** Stop a dispatched request; its end is reported as for any other. */
+struct cancel_dispatch {
+    attempt_id id;
+};
+
+/** Allow a dispatched request to read that many further tokens from its engine. */
+struct extend_credit {
+    attempt_id id;
+    std::uint32_t tokens = 0;
+};
+
+/** Order an engine to load an adapter, on the server's order connection. */
+struct order_load {
+    server_name server;
+    adapter_key key;
+    std::string weights_path;
+    std::uint64_t fencing = 0;
+};
+
+/** Order an engine to unload an adapter, on the server's order connection. */
+struct order_unload {
+    server_name server;
+    adapter_key key;
+    std::uint64_t fencing = 0;
+};
+
+/** Open an order connection to a server (a new one if asked to) and report its status. */
+struct probe_server {
+    server_name server;
+    std::string address;
+    bool is_new_connection = false;
+};
+
+/** Where a peer listens; told before the first message to it and when it moves. */
+struct connect_peer {
+    instance_name peer;
+    std::string address;
+};
+
+/** Hand tokens to the caller of a request that entered here. */
+struct deliver_tokens {
+    request_id request;
+    std::vector<std::string> tokens;
+};
+
+/** Tell the caller how a request that entered here ended. */
+struct finish_request {
+    request_id request;
+    request_result result;
+};
+
+/** Call a plain service for a request that entered here. */
+struct call_plain {
+    request_id request;
+    std::string address;
+};
+
+using command = std::variant<send_peer, call_platform, dispatch_request, cancel_dispatch, extend_credit,
+                             order_load, order_unload, probe_server, connect_peer, deliver_tokens,
+                             finish_request, call_plain>;
+using command_list = std::vector<command>;
+
+} // namespace lovageledge
--- /dev/null
+++ b/modules/coordination/include/lovageledge/coordination/router.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "lovageledge/coordination/command.hpp"
+#include "lovageledge/coordination/server_load.hpp"
+#include "lovageledge/coordination/settings.hpp"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace lovageledge {
+
+/** Where a request is sent, with the inputs that decided it. */
+struct route {
+    server_name server;
+    instance_name owner;
+    bool is_loaded = false;
+    bool is_remote = false;
+    duration cost{};
+};
+
+/**
+    The directory of servers as their owners report them, and the choice among them.
+
+    A server costs its owner's wait estimate, the work this instance sent there since the report, a load if
+    the adapter is not there, and a penalty in another region. A request goes to the cheapest among the
+    servers that hold its adapter and the adapter's preferred servers, so that a hot adapter spreads when the
+    queue before it costs more than another load. Preferred servers follow rendezvous hashing, in the
+    caller's region first.
+
+    Not thread-safe; the shard's lock guards it.
+*/
+class router {
+public:
+    /** Picks a server out of an adapter's candidates; tests and baselines replace it. */
+    using cost_function = std::function<duration(const backend_server&, const server_load&, std::uint32_t sent,
+                                                 bool is_loaded, bool is_remote)>;
+
+    router(const instance_identity& self, const coordination_settings& settings);
+
+    /** Takes over the servers and adapters of a configuration. */
+    void set_configuration(const configuration_ptr& config);
+    /** Replaces the cost of a candidate. */
+    void set_cost_function(cost_function cost) { cost_ = std::move(cost); }
+
+    /** An owner reports one of its servers. Older epochs than the known one are ignored.
+        @returns true if the report was taken */
+    bool on_report(const instance_name& owner, const protocol::ServerReport& report);
+    /** A peer is gone or suspected: its servers are not routable until someone reports them. */
+    void on_owner_lost(const instance_name& owner);
+    /** An owner no longer owns a server. */
+    void on_not_owner(const server_name& server, const instance_name& owner);
+    /** Nothing new goes to this server while the engine's start is the given one. An empty start stands for
+        whichever is reported. */
+    void set_leaving(const server_name& server, const start_id& start);
+    /** Forgets that a server leaves; only a test without the sticky safeguard calls it. */
+    void clear_leaving(const server_name& server) { leaving_.erase(server); }
+    /** @returns true if the server, in its reported start, leaves */
+    bool is_leaving(const server_name& server) const;
+    /** @returns the starts of leaving servers, for peers */
+    const std::map<server_name, start_id>& leaving() const { return leaving_; }
+
+    /** Chooses where a request goes. @param excluded servers that refused it
+        @returns nothing if no server is routable */
+    std::optional<route> pick(const protocol::RequestSpec& spec, const std::set<server_name>& excluded);
+
+    struct server_view {
+        instance_name owner;
+        std::uint64_t epoch = 0;
+        server_load load;
+        std::set<adapter_key> adapters;
+        /** Requests that this instance sent since the report. */
+        std::uint32_t sent = 0;
+    };
+    /** @returns what is known of a server, or nullptr */
+    const server_view* find(const server_name& server) const;
+    /** @returns all servers that anyone has reported */
+    const std::map<server_name, server_view>& servers() const { return views_; }
+
+private:
+    struct candidate_list {
+        std::vector<server_name> servers;
+    };
+
+    const std::vector<server_name>& preferred_servers(const adapter_key& key, const pool_name& pool);
+    void consider(const server_name& server, const adapter_key& key, const std::set<server_name>& excluded,
+                  std::optional<route>& best) const;
+    void unindex(const server_name& server, const server_view& view);
+
+    const instance_identity& self_;
+    const coordination_settings& settings_;
+    configuration_ptr config_;
+    cost_function cost_;
+    std::map<server_name, server_view> views_;
+    std::unordered_map<adapter_key, std::set<server_name>> holders_;
+    std::unordered_map<adapter_key, candidate_list> preferred_;
+    std::map<server_name, start_id> leaving_;
+};
+
+} // namespace lovageledge
--- /dev/null
+++ b/modules/coordination/router.cpp
@@ -0,0 +1,195 @@
+#include "lovageledge/coordination/router.hpp"
+
+#include <algorithm>
+
+namespace lovageledge {
+namespace {
+
+/** Servers that a cold adapter may be loaded on, in each of the caller's region and the others. */
+constexpr std::size_t preferred_per_side = 2;
+/** Adapters whose preferred servers are remembered; the list is rebuilt when it grows past this. */
+constexpr std::size_t preferred_cache_limit = 50'000;
+constexpr std::uint32_t typical_tokens = 64;
+constexpr auto typical_token_time = std::chrono::milliseconds{10};
+
+} // namespace
+
+router::router(const instance_identity& self, const coordination_settings& settings)
+    : self_{self}, settings_{settings} {
+    cost_ = [this](const backend_server& server, const server_load& load, std::uint32_t sent, bool is_loaded,
+                   bool is_remote) {
+        const bool fits = load.waiting == 0 && load.running + sent < server.batch;
+        const auto batch = static_cast<duration::rep>(std::max(server.batch, 1U));
+        duration cost = load.wait_estimate;
+        // Work sent since the report is not in the estimate yet.
+        cost += fits ? duration{typical_token_time} * sent / batch
+                     : duration{typical_token_time} * typical_tokens * sent / batch;
+        cost += duration{typical_token_time} * load.running / batch;
+        if (!is_loaded) {
+            cost += settings_.load_time;
+        }
+        if (is_remote) {
+            cost += settings_.remote_penalty;
+        }
+        return cost;
+    };
+}
+
+void router::set_configuration(const configuration_ptr& config) {
+    config_ = config;
+    preferred_.clear();
+}
+
+bool router::on_report(const instance_name& owner, const protocol::ServerReport& report) {
+    const server_name name{report.server()};
+    server_view& view = views_[name];
+    const bool is_older = report.epoch() < view.epoch || (report.epoch() == view.epoch && view.owner != owner &&
+                                                          !view.owner.is_empty());
+    if (is_older) {
+        return false;
+    }
+    const bool is_same_list = view.owner == owner && view.load.generation == report.generation();
+    if (!report.has_adapters() && !is_same_list) {
+        unindex(name, view);
+        view.adapters.clear();
+    }
+    view.owner = owner;
+    view.epoch = report.epoch();
+    view.load = {start_id{report.start()},
+                 report.running(),
+                 report.waiting(),
+                 std::chrono::microseconds{report.wait_estimate_us()},
+                 report.ready(),
+                 report.generation()};
+    view.sent = 0;
+    if (report.has_adapters()) {
+        unindex(name, view);
+        view.adapters.clear();
+        for (const std::string& key : report.adapters()) {
+            view.adapters.insert(adapter_key{key});
+            holders_[adapter_key{key}].insert(name);
+        }
+    }
+    return true;
+}
+
+void router::unindex(const server_name& server, const server_view& view) {
+    for (const adapter_key& key : view.adapters) {
+        const auto holders = holders_.find(key);
+        if (holders == holders_.end()) {
+            continue;
+        }
+        holders->second.erase(server);
+        if (holders->second.empty()) {
+            holders_.erase(holders);
+        }
+    }
+}
+
+void router::on_owner_lost(const instance_name& owner) {
+    for (auto& [name, view] : views_) {
+        if (view.owner == owner) {
+            view.load.is_ready = false;
+        }
+    }
+}
+
+void router::on_not_owner(const server_name& server, const instance_name& owner) {
+    const auto view = views_.find(server);
+    if (view != views_.end() && view->second.owner == owner) {
+        view->second.load.is_ready = false;
+    }
+}
+
+void router::set_leaving(const server_name& server, const start_id& start) {
+    leaving_[server] = start;
+}
+
+bool router::is_leaving(const server_name& server) const {
+    const auto entry = leaving_.find(server);
+    if (entry == leaving_.end()) {
+        return false;
+    }
+    const server_view* view = find(server);
+    return entry->second.is_empty() || view == nullptr || view->load.start == entry->second;
+}
+
+const router::server_view* router::find(const server_name& server) const {
+    const auto view = views_.find(server);
+    return view == views_.end() ? nullptr : &view->second;
+}
+
+const std::vector<server_name>& router::preferred_servers(const adapter_key& key, const pool_name& pool) {
+    if (preferred_.size() > preferred_cache_limit) {
+        preferred_.clear();
+    }
+    auto [entry, is_new] = preferred_.try_emplace(key);
+    if (!is_new) {
+        return entry->second.servers;
+    }
+    std::vector<std::pair<std::uint64_t, const backend_server*>> local;
+    std::vector<std::pair<std::uint64_t, const backend_server*>> remote;
+    for (const auto& [name, server] : config_->servers) {
+        if (server.pool == pool) {
+            auto& side = server.region == self_.region ? local : remote;
+            side.emplace_back(rendezvous_weight(key.text(), name.text()), &server);
+        }
+    }
+    for (auto* side : {&local, &remote}) {
+        const auto count = static_cast<std::ptrdiff_t>(std::min(preferred_per_side, side->size()));
+        std::partial_sort(side->begin(), side->begin() + count, side->end(), std::greater<>{});
+        for (auto item = side->begin(); item != side->begin() + count; ++item) {
+            entry->second.servers.push_back(item->second->name);
+        }
+    }
+    return entry->second.servers;
+}
+
+void router::consider(const server_name& server, const adapter_key& key, const std::set<server_name>& excluded,
+                      std::optional<route>& best) const {
+    const server_view* view = find(server);
+    const auto declared = config_->servers.find(server);
+    const bool is_candidate = view != nullptr && declared != config_->servers.end() && view->load.is_ready &&
+                              !excluded.contains(server) && !is_leaving(server);
+    if (!is_candidate) {
+        return;
+    }
+    const bool is_loaded = view->adapters.contains(key);
+    const bool is_remote = declared->second.region != self_.region;
+    const duration cost = cost_(declared->second, view->load, view->sent, is_loaded, is_remote);
+    if (!best || cost < best->cost) {
+        best = route{server, view->owner, is_loaded, is_remote, cost};
+    }
+}
+
+std::optional<route> router::pick(const protocol::RequestSpec& spec, const std::set<server_name>& excluded) {
+    const adapter_key key{spec.adapter()};
+    const auto declared = config_->adapters.find(key);
+    if (declared == config_->adapters.end()) {
+        return std::nullopt;
+    }
+    std::optional<route> best;
+    const auto holders = holders_.find(key);
+    if (holders != holders_.end()) {
+        for (const server_name& server : holders->second) {
+            consider(server, key, excluded, best);
+        }
+    }
+    for (const server_name& server : preferred_servers(key, declared->second.pool)) {
+        consider(server, key, excluded, best);
+    }
+    if (!best) {
+        // The preferred servers are away: any server of the pool will do.
+        for (const auto& [name, server] : config_->servers) {
+            if (server.pool == declared->second.pool) {
+                consider(name, key, excluded, best);
+            }
+        }
+    }
+    if (best) {
+        ++views_.at(best->server).sent;
+    }
+    return best;
+}
+
+} // namespace lovageledge
--- /dev/null
+++ b/modules/state/include/lovageledge/state/sheet_parts.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "lovageledge/state/configuration.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lovageledge {
+
+/** Bytes of a sheet that one object of the platform holds; the platform's limit is a megabyte. */
+inline constexpr std::size_t sheet_part_bytes = 512 * 1024;
+
+/** @returns a digest-checked configuration from the parts of a sheet, or nothing with the reason.
+    Thread-safe. */
+std::optional<configuration> assemble_configuration(revision_number revision, const std::string& digest,
+                                                    const std::vector<std::string>& parts, error& why);
+
+/** @returns the sheet cut into parts of at most sheet_part_bytes. Thread-safe. */
+std::vector<std::string> split_sheet(std::string_view sheet);
+
+/** @returns the name of the object that holds a part. Parts carry the apply id, so that two operators who race
+    for one revision never write the same object. */
+std::string part_object_name(const std::string& apply_id, std::size_t index);
+
+} // namespace lovageledge
