--- a/modules/coordination/include/lovageledge/coordination/command.hpp
+++ b/modules/coordination/include/lovageledge/coordination/command.hpp
@@ -78,6 +78,15 @@
     attempt_id id;
 };
 
+/** An answer broke off: make sure, on a new connection, that the engine no longer runs the request, and report
+    it to node::on_dispatch_released(). Repeat until the engine confirms it or has restarted. */
+struct confirm_ended {
+    server_name server;
+    std::string address;
+    start_id start;
+    attempt_id id;
+};
+
 /** Allow a dispatched request to read that many further tokens from its engine. */
 struct extend_credit {
     attempt_id id;
@@ -130,9 +139,42 @@
     std::string address;
 };
 
-using command = std::variant<send_peer, call_platform, dispatch_request, cancel_dispatch, extend_credit,
+/** An operator's sheet that is to be put in force. */
+struct publication_request {
+    /** Chosen by the operator's tool; repeating an apply with the same id is safe. */
+    std::string apply_id;
+    /** The revision that the sheet was planned on. */
+    revision_number based_on = 0;
+    std::string author;
+    std::string reason;
+    /** Seconds since 1970, UTC. */
+    std::int64_t accepted_at = 0;
+    std::string sheet;
+};
+
+enum class publication_status : std::uint8_t {
+    in_force,
+    /** The sheet has errors; the reason lists them, a line each. */
+    invalid,
+    /** Another revision is in force than the sheet was planned on. */
+    conflict,
+    /** Not in force: the platform did not answer. */
+    unavailable,
+    /** The platform did not answer the last write; the history tells. */
+    unknown,
+};
+
+/** Tell the operator how an apply ended. */
+struct finish_publication {
+    std::string apply_id;
+    publication_status status = publication_status::unknown;
+    std::string reason;
+    protocol::RevisionRecord in_force;
+};
+
+using command = std::variant<send_peer, call_platform, dispatch_request, cancel_dispatch, confirm_ended, extend_credit,
                              order_load, order_unload, probe_server, connect_peer, deliver_tokens,
-                             finish_request, call_plain>;
+                             finish_request, call_plain, finish_publication>;
 using command_list = std::vector<command>;
 
 } // namespace lovageledge
--- a/modules/coordination/include/lovageledge/coordination/node.hpp
+++ b/modules/coordination/include/lovageledge/coordination/node.hpp
@@ -8,6 +8,7 @@
 #include "lovageledge/coordination/request_table.hpp"
 #include "lovageledge/coordination/router.hpp"
 #include "lovageledge/coordination/server_owner.hpp"
+#include "lovageledge/coordination/sheet_publisher.hpp"
 
 #include <array>
 #include <atomic>
@@ -86,6 +87,8 @@
     /** The end of a dispatched request. @param tokens of the whole answer */
     command_list on_dispatch_ended(const server_name& server, const attempt_id& id, const request_result& result,
                                    std::uint32_t tokens, time_point now);
+    /** An engine confirmed that a request whose answer broke off does not run any more. */
+    command_list on_dispatch_released(const server_name& server, const attempt_id& id, time_point now);
     /** A new or asked-for status of a server, told on its order connection. */
     command_list on_server_status(const server_name& server, const start_id& start,
                                   const std::vector<adapter_key>& loaded, bool is_leaving, time_point now);
@@ -98,9 +101,8 @@
     command_list on_unload_answer(const server_name& server, const adapter_key& key,
                                   server_owner::order_result result, time_point now);
 
-    /** Offers an accepted sheet, as after publishing it here. */
-    command_list offer_configuration(revision_number revision, const std::string& digest,
-                                     const std::vector<std::string>& parts, time_point now);
+    /** Puts an operator's sheet in force; the end comes as finish_publication. */
+    command_list publish_sheet(publication_request request, time_point now);
 
     /** Timed work. Call it every 20 to 50 ms. */
     command_list on_tick(time_point now);
@@ -166,6 +168,7 @@
     platform_calls control_calls_;
     ownership_keeper ownership_;
     configuration_keeper configurations_;
+    sheet_publisher publisher_;
     load_budget budget_;
     std::map<instance_name, std::string> addresses_;
     std::set<server_name> listed_leaving_;
--- a/modules/coordination/include/lovageledge/coordination/server_owner.hpp
+++ b/modules/coordination/include/lovageledge/coordination/server_owner.hpp
@@ -56,7 +56,7 @@
     /** Takes admission up again after stop_admission(). */
     void resume_admission();
     /** @returns true if no request runs and no order is open */
-    bool is_drained() const { return running_.empty() && !has_open_order(); }
+    bool is_drained() const { return running_.empty() && lingering_.empty() && !has_open_order(); }
     /** @returns true if an order to the engine has no answer yet */
     bool has_open_order() const { return open_order_.has_value(); }
 
@@ -75,6 +75,9 @@
     void on_ended(const attempt_id& id, const request_result& result, std::uint32_t tokens,
                   const configuration& config, time_point now, command_list& out);
 
+    /** The engine confirmed that a request whose answer broke off does not run any more. */
+    void on_released(const attempt_id& id, const configuration& config, time_point now, command_list& out);
+
     /** The order connection is open and the engine told its state. */
     void on_status(const start_id& start, const std::vector<adapter_key>& loaded, const configuration& config,
                    time_point now, command_list& out);
@@ -194,6 +197,8 @@
     std::uint64_t generation_ = 0;
     std::deque<waiting_request> waiting_;
     std::map<attempt_id, running_request> running_;
+    /** Requests whose answer broke off; the engine may run them still, so they go on using their adapter. */
+    std::map<attempt_id, adapter_key> lingering_;
     std::unordered_map<adapter_key, wanted_load> loads_;
     std::optional<open_order> open_order_;
     std::map<adapter_key, time_point> uncertain_until_;
@@ -203,6 +208,7 @@
     std::vector<std::string> cleared_;
     owner_wishes wishes_;
     std::optional<std::set<adapter_key>> asked_intents_;
+    time_point last_probe_{};
     duration token_time_ = std::chrono::milliseconds{10};
     duration first_token_time_ = std::chrono::milliseconds{20};
 };
--- a/modules/coordination/node.cpp
+++ b/modules/coordination/node.cpp
@@ -38,7 +38,12 @@
     : identity_{std::move(identity)}, settings_{settings}, log_{std::move(log)}, members_{identity_, settings_},
       control_calls_{request_shard_count + 1, request_shard_count + 1},
       ownership_{identity_, settings_, log_, members_, control_calls_},
-      configurations_{identity_, settings_, log_, members_, control_calls_}, budget_{settings_},
+      configurations_{identity_, settings_, log_, members_, control_calls_},
+      publisher_{settings_, control_calls_,
+                 [this](const protocol::RevisionRecord& record, const std::vector<std::string>& parts) {
+                     configurations_.offer(record.revision(), record.digest(), parts, "operator");
+                 }},
+      budget_{settings_},
       router_{identity_, settings_}, quarantine_{settings_.crash_limit} {
     request_table::hooks hooks;
     hooks.pick = [this](const protocol::RequestSpec& spec, const std::set<server_name>& excluded) {
@@ -260,6 +265,14 @@
     return settle(std::move(out), now);
 }
 
+command_list node::on_dispatch_released(const server_name& server, const attempt_id& id, time_point now) {
+    command_list out;
+    with_owner(server, now, out, [&](server_owner& owner, const configuration& config) {
+        owner.on_released(id, config, now, out);
+    });
+    return settle(std::move(out), now);
+}
+
 command_list node::on_server_status(const server_name& server, const start_id& start,
                                     const std::vector<adapter_key>& loaded, bool is_leaving, time_point now) {
     command_list out;
@@ -301,14 +314,13 @@
     return settle(std::move(out), now);
 }
 
-command_list node::offer_configuration(revision_number revision, const std::string& digest,
-                                       const std::vector<std::string>& parts, time_point now) {
+command_list node::publish_sheet(publication_request request, time_point now) {
+    command_list out;
     {
         const std::scoped_lock lock{control_mutex_};
-        configurations_.offer(revision, digest, parts, "operator");
-        apply_configuration();
+        publisher_.publish(std::move(request), configurations_.sheet(), now, out);
     }
-    return settle({}, now);
+    return settle(std::move(out), now);
 }
 
 void node::apply_configuration() {
@@ -755,6 +767,7 @@
         const std::scoped_lock lock{control_mutex_};
         list_instances(now, out);
         configurations_.on_tick(now, out);
+        publisher_.on_tick(now, out);
         apply_configuration();
         suspects = members_.take_new_suspects(now);
         send_heartbeats(now, out);
--- a/modules/coordination/server_owner.cpp
+++ b/modules/coordination/server_owner.cpp
@@ -13,6 +13,9 @@
 /** Weight of a new sample in the running means of token times. */
 constexpr int mean_window = 8;
 constexpr auto budget_repeat_interval = milliseconds{500};
+/** A status is asked for this often; it finds restarts and connections that have gone silent. */
+constexpr auto probe_interval = milliseconds{1000};
+constexpr auto unreachable_probe_interval = milliseconds{200};
 /** A granted load that finds no slot for this long gives its grant back. */
 constexpr auto grant_hold = milliseconds{1000};
 constexpr std::uint32_t reference_importance = 50;
@@ -202,7 +205,11 @@
     }
     const running_request request = running->second;
     running_.erase(running);
-    if (request.holds_slot) {
+    const bool may_run_still = result.outcome == protocol::UNKNOWN && request.holds_slot;
+    if (may_run_still) {
+        lingering_.emplace(id, request.key);
+        out.emplace_back(confirm_ended{server_.name, server_.address, start_, id});
+    } else if (request.holds_slot) {
         slots_.release(request.key, now);
     }
     if (result.outcome == protocol::DONE && suspects_.contains(request.fingerprint)) {
@@ -224,6 +231,17 @@
     schedule(config, now, out);
 }
 
+void server_owner::on_released(const attempt_id& id, const configuration& config, time_point now,
+                               command_list& out) {
+    const auto lingering = lingering_.find(id);
+    if (lingering == lingering_.end()) {
+        return;
+    }
+    slots_.release(lingering->second, now);
+    lingering_.erase(lingering);
+    schedule(config, now, out);
+}
+
 void server_owner::on_status(const start_id& start, const std::vector<adapter_key>& loaded,
                              const configuration& config, time_point now, command_list& out) {
     const bool is_new_start = start != start_;
@@ -243,6 +261,7 @@
         }
         start_ = start;
         is_fenced_ = false;
+        lingering_.clear();
         open_order_.reset();
         uncertain_until_.clear();
         slots_.reset({}, false, now);
@@ -446,7 +465,8 @@
     }
     update_poisoned(now);
     if (!is_reachable_) {
-        if (is_admitting_) {
+        if (is_admitting_ && now - last_probe_ >= unreachable_probe_interval) {
+            last_probe_ = now;
             out.emplace_back(probe_server{server_.name, server_.address, true});
         }
         return;
@@ -454,6 +474,10 @@
     if (!unconfirmed_.empty()) {
         wishes_.confirmation_ticket = confirmation_ticket_;
     }
+    if (now - last_probe_ >= probe_interval) {
+        last_probe_ = now;
+        out.emplace_back(probe_server{server_.name, server_.address, false});
+    }
     schedule(config, now, out);
 }
 
--- /dev/null
+++ b/modules/transport/http_server.cpp
@@ -0,0 +1,264 @@
+#include "lovageledge/transport/http_server.hpp"
+
+#include <cassert>
+#include <nlohmann/json.hpp>
+
+namespace lovageledge {
+namespace {
+
+std::string percent_decoded(std::string_view text) {
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const bool is_escape = text[i] == '%' && i + 2 < text.size();
+        if (is_escape) {
+            decoded.push_back(static_cast<char>(std::strtol(std::string{text.substr(i + 1, 2)}.c_str(), nullptr, 16)));
+            i += 2;
+        } else {
+            decoded.push_back(text[i] == '+' ? ' ' : text[i]);
+        }
+    }
+    return decoded;
+}
+
+} // namespace
+
+std::string http_exchange::path() const {
+    const std::string_view target{request_.target().data(), request_.target().size()};
+    return std::string{target.substr(0, target.find('?'))};
+}
+
+std::string http_exchange::parameter(std::string_view name) const {
+    const std::string_view target{request_.target().data(), request_.target().size()};
+    const std::size_t question = target.find('?');
+    if (question == std::string_view::npos) {
+        return {};
+    }
+    std::string_view query = target.substr(question + 1);
+    while (!query.empty()) {
+        const std::string_view item = query.substr(0, query.find('&'));
+        const std::size_t equals = item.find('=');
+        if (equals != std::string_view::npos && item.substr(0, equals) == name) {
+            return percent_decoded(item.substr(equals + 1));
+        }
+        query.remove_prefix(std::min(query.size(), item.size() + 1));
+    }
+    return {};
+}
+
+std::string http_exchange::header(std::string_view name) const {
+    const auto field = request_.find(beast::string_view{name.data(), name.size()});
+    return field == request_.end() ? std::string{} : std::string{field->value()};
+}
+
+asio::awaitable<bool> http_exchange::finish_write(boost::system::error_code code) {
+    if (code) {
+        abort();
+    }
+    co_return !code;
+}
+
+asio::awaitable<bool> http_exchange::respond(unsigned status, std::string body, std::string content_type,
+                                             std::vector<http_header> headers) {
+    assert(!has_answered_);
+    has_answered_ = true;
+    close_listener_.reset();
+    http::response<http::string_body> answer{static_cast<http::status>(status), 11, std::move(body)};
+    answer.set(http::field::content_type, content_type);
+    for (const http_header& header : headers) {
+        answer.set(header.name, header.value);
+    }
+    answer.keep_alive(request_.keep_alive());
+    answer.prepare_payload();
+    stream_.expires_after(limits_.write_timeout);
+    boost::system::error_code code;
+    co_await http::async_write(stream_, answer, asio::redirect_error(asio::use_awaitable, code));
+    co_return co_await finish_write(code);
+}
+
+asio::awaitable<bool> http_exchange::begin_stream(std::string content_type, std::vector<http_header> headers) {
+    assert(!has_answered_);
+    has_answered_ = true;
+    is_stream_whole_ = false;
+    close_listener_.reset();
+    http::response<http::empty_body> answer{http::status::ok, 11};
+    answer.set(http::field::content_type, content_type);
+    for (const http_header& header : headers) {
+        answer.set(header.name, header.value);
+    }
+    answer.keep_alive(request_.keep_alive());
+    answer.chunked(true);
+    http::response_serializer<http::empty_body> serializer{answer};
+    stream_.expires_after(limits_.write_timeout);
+    boost::system::error_code code;
+    co_await http::async_write_header(stream_, serializer, asio::redirect_error(asio::use_awaitable, code));
+    co_return co_await finish_write(code);
+}
+
+asio::awaitable<bool> http_exchange::write(std::string_view bytes) {
+    if (is_aborted_) {
+        co_return false;
+    }
+    stream_.expires_after(limits_.write_timeout);
+    boost::system::error_code code;
+    co_await asio::async_write(stream_, http::make_chunk(asio::buffer(bytes.data(), bytes.size())),
+                               asio::redirect_error(asio::use_awaitable, code));
+    co_return co_await finish_write(code);
+}
+
+asio::awaitable<bool> http_exchange::end_stream() {
+    if (is_aborted_) {
+        co_return false;
+    }
+    stream_.expires_after(limits_.write_timeout);
+    boost::system::error_code code;
+    co_await asio::async_write(stream_, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, code));
+    is_stream_whole_ = !code;
+    co_return co_await finish_write(code);
+}
+
+void http_exchange::abort() {
+    is_aborted_ = true;
+    boost::system::error_code ignored;
+    stream_.socket().set_option(asio::socket_base::linger{true, 0}, ignored);
+    stream_.socket().close(ignored);
+}
+
+void http_exchange::on_close(std::function<void()> function) {
+    close_listener_ = std::make_shared<std::function<void()>>(std::move(function));
+    const std::weak_ptr<std::function<void()>> listener = close_listener_;
+    stream_.expires_never();
+    stream_.socket().async_wait(asio::socket_base::wait_read, [listener, this](boost::system::error_code code) {
+        const auto function_to_run = listener.lock();
+        if (!function_to_run) {
+            return; // The answer has begun; "this" may be gone.
+        }
+        boost::system::error_code problem;
+        const bool is_closed = code || stream_.socket().available(problem) == 0 || problem;
+        if (is_closed) {
+            (*function_to_run)();
+        }
+    });
+}
+
+http_server::http_server(asio::io_context& context, http_limits limits, handler on_request)
+    : context_{context}, limits_{limits}, on_request_{std::move(on_request)}, acceptor_{context} {}
+
+bool http_server::listen(const std::string& address, error& why) {
+    const auto endpoint = parse_endpoint(address);
+    if (!endpoint) {
+        why = {"http.listen", address, "malformed address"};
+        return false;
+    }
+    boost::system::error_code code;
+    acceptor_.open(endpoint->protocol(), code);
+    if (!code) {
+        acceptor_.set_option(asio::socket_base::reuse_address{true}, code);
+    }
+    if (!code) {
+        acceptor_.bind(*endpoint, code);
+    }
+    if (!code) {
+        acceptor_.listen(asio::socket_base::max_listen_connections, code);
+    }
+    if (code) {
+        why = {"http.listen", address, code.message()};
+        return false;
+    }
+    asio::co_spawn(context_, accept_loop(), asio::detached);
+    return true;
+}
+
+void http_server::stop_accepting() {
+    asio::post(context_, [this] {
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
+    });
+}
+
+void http_server::reset_connections() {
+    const std::scoped_lock lock{streams_mutex_};
+    for (const auto& [number, stream] : streams_) {
+        asio::post(stream->get_executor(), [this, number = number] {
+            const std::scoped_lock inner{streams_mutex_};
+            const auto entry = streams_.find(number);
+            if (entry != streams_.end()) {
+                boost::system::error_code ignored;
+                entry->second->socket().set_option(asio::socket_base::linger{true, 0}, ignored);
+                entry->second->socket().close(ignored);
+            }
+        });
+    }
+}
+
+asio::awaitable<void> http_server::accept_loop() {
+    while (acceptor_.is_open()) {
+        boost::system::error_code code;
+        asio::ip::tcp::socket socket = co_await acceptor_.async_accept(
+            asio::make_strand(context_), asio::redirect_error(asio::use_awaitable, code));
+        if (code || connections_ >= limits_.connections) {
+            continue;
+        }
+        socket.set_option(asio::ip::tcp::no_delay{true}, code);
+        const auto executor = socket.get_executor();
+        asio::co_spawn(executor, serve(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> http_server::serve(asio::ip::tcp::socket socket) {
+    ++connections_;
+    beast::tcp_stream stream{std::move(socket)};
+    beast::flat_buffer buffer;
+    std::uint64_t number = 0;
+    {
+        const std::scoped_lock lock{streams_mutex_};
+        number = next_stream_++;
+        streams_.emplace(number, &stream);
+    }
+    while (co_await serve_one(stream, buffer)) {
+    }
+    {
+        const std::scoped_lock lock{streams_mutex_};
+        streams_.erase(number);
+    }
+    --connections_;
+}
+
+asio::awaitable<bool> http_server::serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
+    boost::system::error_code code;
+    if (buffer.size() == 0) {
+        stream.expires_after(limits_.idle_timeout);
+        const std::size_t size = co_await stream.async_read_some(buffer.prepare(limits_.header_bytes),
+                                                                 asio::redirect_error(asio::use_awaitable, code));
+        if (code) {
+            co_return false;
+        }
+        buffer.commit(size);
+    }
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(limits_.header_bytes);
+    parser.body_limit(limits_.body_bytes);
+    stream.expires_after(limits_.request_timeout);
+    co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, code));
+    if (code == http::error::end_of_stream || !stream.socket().is_open()) {
+        co_return false;
+    }
+    if (code) {
+        const bool is_too_long = code == http::error::body_limit || code == http::error::header_limit;
+        const bool is_late = code == beast::error::timeout;
+        const unsigned status = code == http::error::header_limit ? 431 : is_too_long ? 413 : is_late ? 408 : 400;
+        http::request<http::string_body> nothing;
+        nothing.keep_alive(false);
+        http_exchange exchange{stream, std::move(nothing), limits_};
+        nlohmann::json body{{"error", {{"step", "http.read"}, {"reason", code.message()}, {"outcome", "not_run"}}}};
+        co_await exchange.respond(status, body.dump());
+        co_return false;
+    }
+    http_exchange exchange{stream, parser.release(), limits_};
+    co_await on_request_(exchange);
+    if (!exchange.has_answered() && !exchange.is_aborted()) {
+        co_await exchange.respond(500, R"({"error":{"step":"http","reason":"no answer","outcome":"unknown"}})");
+    }
+    co_return exchange.keeps_alive() && stream.socket().is_open();
+}
+
+} // namespace lovageledge
--- /dev/null
+++ b/programs/standins/plain_service_main.cpp
@@ -0,0 +1,62 @@
+#include "standin.hpp"
+
+#include <CLI/CLI.hpp>
+#include <map>
+
+// A plain service: it counts how often each call was run.
+
+namespace lovageledge::standins {
+namespace {
+
+class plain_service_standin {
+public:
+    plain_service_standin(asio::io_context& context, std::chrono::milliseconds work)
+        : work_{work}, server_{context, {}, [this](http_exchange& exchange) { return handle(exchange); }} {}
+
+    http_server& server() { return server_; }
+
+private:
+    asio::awaitable<void> handle(http_exchange& exchange) {
+        const std::string path = exchange.path();
+        if (path == "/control/log") {
+            const json answer = {{"runs", runs_}};
+            co_await respond_json(exchange, 200, answer);
+            co_return;
+        }
+        if (path == "/control/faults") {
+            lost_answers_ = parse_body(exchange).value("lost_answers", 0);
+            co_await respond_json(exchange, 200, json::object());
+            co_return;
+        }
+        const int count = ++runs_[exchange.body()];
+        co_await pause_for(work_);
+        if (lost_answers_ > 0) {
+            --lost_answers_;
+            exchange.abort();
+            co_return;
+        }
+        const json answer = {{"path", path}, {"runs", count}};
+        co_await respond_json(exchange, 200, answer);
+    }
+
+    std::chrono::milliseconds work_;
+    int lost_answers_ = 0;
+    std::map<std::string, int> runs_;
+    http_server server_;
+};
+
+} // namespace
+} // namespace lovageledge::standins
+
+int main(int argc, char** argv) {
+    using namespace lovageledge::standins;
+    CLI::App app{"Stand-in for a plain service"};
+    std::string address = "127.0.0.1:7200";
+    int work_ms = 5;
+    app.add_option("--listen", address, "IP:PORT");
+    app.add_option("--work-ms", work_ms, "time of one call");
+    CLI11_PARSE(app, argc, argv);
+    boost::asio::io_context context{1};
+    plain_service_standin service{context, std::chrono::milliseconds{work_ms}};
+    return run_standin("plain service", address, context, service.server());
+}
