--- /dev/null
+++ b/Makefile
@@ -0,0 +1,18 @@
+# Shortcuts; everything is built by CMake.
+BUILD ?= build
+
+.PHONY: deps build test demo format lint
+deps:
+	scripts/install_packages.sh
+build:
+	cmake -S . -B $(BUILD) -G Ninja
+	cmake --build $(BUILD)
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure
+demo: deps build
+	python3 scripts/demo.py sabarmati
+	python3 scripts/demo.py association
+format:
+	scripts/check_format.sh --fix
+lint: build
+	scripts/check_lint.sh $(BUILD)
--- a/modules/base/include/lovageledge/base/event_log.hpp
+++ b/modules/base/include/lovageledge/base/event_log.hpp
@@ -20,7 +20,6 @@
     ownership_lost = 301,
     ownership_handed_over = 302,
     holder_drained = 303,
-    ownership_conflict = 304,
     server_ready = 310,
     server_lost = 311,
     server_leaving = 312,
--- a/modules/coordination/configuration_keeper.cpp
+++ b/modules/coordination/configuration_keeper.cpp
@@ -15,8 +15,9 @@
 
 } // namespace
 
-configuration_keeper::configuration_keeper(const instance_identity& self, const coordination_settings& settings,
-                                           const event_log& log, const membership& members, platform_calls& calls)
+configuration_keeper::configuration_keeper(const instance_identity& self,
+                                           const coordination_settings& settings, const event_log& log,
+                                           const membership& members, platform_calls& calls)
     : self_{self}, settings_{settings}, log_{log}, members_{members}, calls_{calls} {}
 
 bool configuration_keeper::offer(revision_number revision, const std::string& digest,
@@ -27,8 +28,8 @@
         return false;
     }
     if (!is_newer && settings_.safeguard.revision_guard) {
-        log_(event::configuration_rejected, fmt::format("revision={} in_force={} source={} reason=older", revision,
-                                                        current_->revision, source));
+        log_(event::configuration_rejected, fmt::format("revision={} in_force={} source={} reason=older",
+                                                        revision, current_->revision, source));
         return false;
     }
     error why;
@@ -45,7 +46,8 @@
     }
     digest_ = digest;
     has_adopted_ = true;
-    log_(event::configuration_adopted, fmt::format("revision={} digest={} source={}", revision, digest, source));
+    log_(event::configuration_adopted,
+         fmt::format("revision={} digest={} source={}", revision, digest, source));
     return true;
 }
 
@@ -65,12 +67,13 @@
 
 void configuration_keeper::watch(command_list& out) {
     is_watching_ = true;
-    calls_.start({0, platform_operation::watch, head_kind, head_name, head_version_, ""},
-                 [this](const platform_answer& answer, time_point now, command_list& commands) {
-                     is_watching_ = false;
-                     on_head(answer, now, commands);
-                 },
-                 out);
+    calls_.start(
+        {0, platform_operation::watch, head_kind, head_name, head_version_, ""},
+        [this](const platform_answer& answer, time_point now, command_list& commands) {
+            is_watching_ = false;
+            on_head(answer, now, commands);
+        },
+        out);
 }
 
 void configuration_keeper::on_head(const platform_answer& answer, time_point now, command_list& out) {
@@ -100,18 +103,19 @@
         return;
     }
     const std::string name = part_object_name(head.apply_id(), parts.size());
-    calls_.start({0, platform_operation::get, part_kind, name, 0, ""},
-                 [this, head, parts](const platform_answer& answer, time_point now, command_list& commands) {
-                     if (answer.status != platform_status::ok) {
-                         head_version_ = 0; // The next watch returns at once and starts over.
-                         next_watch_ = now + watch_retry_pause;
-                         return;
-                     }
-                     auto more = parts;
-                     more.push_back(answer.data);
-                     read_part(head, std::move(more), commands);
-                 },
-                 out);
+    calls_.start(
+        {0, platform_operation::get, part_kind, name, 0, ""},
+        [this, head, parts](const platform_answer& answer, time_point now, command_list& commands) {
+            if (answer.status != platform_status::ok) {
+                head_version_ = 0; // The next watch returns at once and starts over.
+                next_watch_ = now + watch_retry_pause;
+                return;
+            }
+            auto more = parts;
+            more.push_back(answer.data);
+            read_part(head, std::move(more), commands);
+        },
+        out);
 }
 
 void configuration_keeper::fetch_from_peer(time_point now, command_list& out) {
--- a/modules/coordination/include/lovageledge/coordination/command.hpp
+++ b/modules/coordination/include/lovageledge/coordination/command.hpp
@@ -78,8 +78,8 @@
     attempt_id id;
 };
 
-/** An answer broke off: make sure, on a new connection, that the engine no longer runs the request, and report
-    it to node::on_dispatch_released(). Repeat until the engine confirms it or has restarted. */
+/** An answer broke off: make sure, on a new connection, that the engine no longer runs the request, and
+   report it to node::on_dispatch_released(). Repeat until the engine confirms it or has restarted. */
 struct confirm_ended {
     server_name server;
     std::string address;
@@ -172,9 +172,9 @@
     protocol::RevisionRecord in_force;
 };
 
-using command = std::variant<send_peer, call_platform, dispatch_request, cancel_dispatch, confirm_ended, extend_credit,
-                             order_load, order_unload, probe_server, connect_peer, deliver_tokens,
-                             finish_request, call_plain, finish_publication>;
-using command_list = std::vector<command>;
+using node_command = std::variant<send_peer, call_platform, dispatch_request, cancel_dispatch, confirm_ended,
+                                  extend_credit, order_load, order_unload, probe_server, connect_peer,
+                                  deliver_tokens, finish_request, call_plain, finish_publication>;
+using command_list = std::vector<node_command>;
 
 } // namespace lovageledge
--- a/modules/coordination/include/lovageledge/coordination/configuration_keeper.hpp
+++ b/modules/coordination/include/lovageledge/coordination/configuration_keeper.hpp
@@ -34,7 +34,8 @@
     /** Timed work: watch, fetch from peers. */
     void on_tick(time_point now, command_list& out);
     /** A peer asks for the sheet; it is sent in parts if it is at least as new as asked for. */
-    void on_fetch(const instance_name& from, const protocol::ConfigurationFetch& fetch, command_list& out) const;
+    void on_fetch(const instance_name& from, const protocol::ConfigurationFetch& fetch,
+                  command_list& out) const;
     /** A part of the sheet arrives from a peer. @returns true if a configuration came into force */
     bool on_part(const instance_name& from, const protocol::ConfigurationPart& part);
 
--- a/modules/coordination/include/lovageledge/coordination/membership.hpp
+++ b/modules/coordination/include/lovageledge/coordination/membership.hpp
@@ -44,8 +44,8 @@
         : self_{self}, settings_{settings} {}
 
     /** A peer's heartbeat. One of an older start is ignored. */
-    change on_heartbeat(const instance_name& from, const start_id& start, const protocol::Heartbeat& heartbeat,
-                        time_point now);
+    change on_heartbeat(const instance_name& from, const start_id& start,
+                        const protocol::Heartbeat& heartbeat, time_point now);
     /** The platform's list, however old. */
     void on_list(const std::vector<listed_instance>& list, time_point now);
     /** @returns peers that are suspected from now on */
--- a/modules/coordination/include/lovageledge/coordination/node.hpp
+++ b/modules/coordination/include/lovageledge/coordination/node.hpp
@@ -85,8 +85,8 @@
     command_list on_dispatch_progress(const server_name& server, const attempt_id& id, std::uint32_t offset,
                                       std::vector<std::string> tokens, time_point now);
     /** The end of a dispatched request. @param tokens of the whole answer */
-    command_list on_dispatch_ended(const server_name& server, const attempt_id& id, const request_result& result,
-                                   std::uint32_t tokens, time_point now);
+    command_list on_dispatch_ended(const server_name& server, const attempt_id& id,
+                                   const request_result& result, std::uint32_t tokens, time_point now);
     /** An engine confirmed that a request whose answer broke off does not run any more. */
     command_list on_dispatch_released(const server_name& server, const attempt_id& id, time_point now);
     /** A new or asked-for status of a server, told on its order connection. */
@@ -149,7 +149,8 @@
     void handle_peer(const protocol::Envelope& message, time_point now, command_list& out);
     void on_heartbeat(const instance_name& from, const start_id& start, const protocol::Heartbeat& heartbeat,
                       time_point now, command_list& out);
-    void on_submit(const instance_name& from, const protocol::Submit& submit, time_point now, command_list& out);
+    void on_submit(const instance_name& from, const protocol::Submit& submit, time_point now,
+                   command_list& out);
     void lose_owner(const instance_name& owner, time_point now, command_list& out);
     void send_heartbeats(time_point now, command_list& out);
     protocol::Heartbeat make_heartbeat(time_point now);
--- a/modules/coordination/include/lovageledge/coordination/ownership_keeper.hpp
+++ b/modules/coordination/include/lovageledge/coordination/ownership_keeper.hpp
@@ -45,8 +45,8 @@
 */
 class ownership_keeper {
 public:
-    ownership_keeper(const instance_identity& self, const coordination_settings& settings, const event_log& log,
-                     const membership& members, platform_calls& calls);
+    ownership_keeper(const instance_identity& self, const coordination_settings& settings,
+                     const event_log& log, const membership& members, platform_calls& calls);
 
     /** Timed work: who should own what, retries of records, former holders that are gone. */
     void on_tick(const configuration& config, time_point now, command_list& out);
@@ -56,8 +56,8 @@
                         const start_id& server_start, time_point now, command_list& out);
     /** Wants the record to confirm that we own the server still. @param ticket grows with each wish; a
         recorded event that carries it comes from a write that began after this call */
-    void confirm(const server_name& server, const start_id& server_start, std::uint64_t ticket, time_point now,
-                 command_list& out);
+    void confirm(const server_name& server, const start_id& server_start, std::uint64_t ticket,
+                 time_point now, command_list& out);
     /** A peer announces an epoch of a server. */
     void on_announced(const server_name& server, const instance_name& owner, std::uint64_t epoch);
     /** A former holder has ended all its work on a server; it is answered. */
@@ -114,7 +114,8 @@
     void read(const server_name& server, entry& item, command_list& out);
     void on_read(const server_name& server, const platform_answer& answer, time_point now, command_list& out);
     void write(const server_name& server, entry& item, protocol::OwnershipRecord record, command_list& out);
-    void on_write(const server_name& server, const platform_answer& answer, time_point now, command_list& out);
+    void on_write(const server_name& server, const platform_answer& answer, time_point now,
+                  command_list& out);
     void on_written(const server_name& server, entry& item, time_point now, command_list& out);
     void adopt(const server_name& server, entry& item, time_point now);
     void lose(const server_name& server, entry& item, time_point now);
--- a/modules/coordination/include/lovageledge/coordination/platform_calls.hpp
+++ b/modules/coordination/include/lovageledge/coordination/platform_calls.hpp
@@ -16,7 +16,8 @@
 public:
     using continuation = std::function<void(const platform_answer&, time_point, command_list&)>;
 
-    /** @param first_call the shard's first call number; numbers grow by stride, so that shards never share one */
+    /** @param first_call the shard's first call number; numbers grow by stride, so that shards never share
+     * one */
     platform_calls(std::uint64_t first_call, std::uint64_t stride) : next_{first_call}, stride_{stride} {}
 
     /** Emits a call. @param request its call number is filled in @param then runs once with the answer */
--- a/modules/coordination/include/lovageledge/coordination/request_table.hpp
+++ b/modules/coordination/include/lovageledge/coordination/request_table.hpp
@@ -57,7 +57,8 @@
                      command_list& out);
     void on_ended(const instance_name& from, const protocol::Ended& ended, time_point now, command_list& out);
     /** A plain service answered or failed. */
-    void on_plain_ended(const request_id& id, const request_result& result, time_point now, command_list& out);
+    void on_plain_ended(const request_id& id, const request_result& result, time_point now,
+                        command_list& out);
     /** An owner died, restarted or is suspected. */
     void on_owner_lost(const instance_name& owner, time_point now, command_list& out);
     /** Timed work: deadlines, unrouted requests, open claims. */
@@ -120,7 +121,8 @@
                          command_list& out);
     void cancel(entry_map::iterator item, const error& why, time_point now, command_list& out);
     void finish(entry_map::iterator item, request_result result, time_point now, command_list& out);
-    entry_map::iterator find_attempt(const instance_name& from, const std::string& request, std::uint32_t attempt);
+    entry_map::iterator find_attempt(const instance_name& from, const std::string& request,
+                                     std::uint32_t attempt);
     void send_credit(const entry& item, const request_id& id, std::uint32_t tokens, command_list& out) const;
 
     const instance_identity& self_;
--- a/modules/coordination/include/lovageledge/coordination/router.hpp
+++ b/modules/coordination/include/lovageledge/coordination/router.hpp
@@ -37,8 +37,8 @@
 class router {
 public:
     /** Picks a server out of an adapter's candidates; tests and baselines replace it. */
-    using cost_function = std::function<duration(const backend_server&, const server_load&, std::uint32_t sent,
-                                                 bool is_loaded, bool is_remote)>;
+    using cost_function = std::function<duration(const backend_server&, const server_load&,
+                                                 std::uint32_t sent, bool is_loaded, bool is_remote)>;
 
     router(const instance_identity& self, const coordination_settings& settings);
 
--- a/modules/coordination/include/lovageledge/coordination/sheet_publisher.hpp
+++ b/modules/coordination/include/lovageledge/coordination/sheet_publisher.hpp
@@ -22,12 +22,14 @@
     using published_listener =
         std::function<void(const protocol::RevisionRecord&, const std::vector<std::string>& parts)>;
 
-    sheet_publisher(const coordination_settings& settings, platform_calls& calls, published_listener on_published)
+    sheet_publisher(const coordination_settings& settings, platform_calls& calls,
+                    published_listener on_published)
         : settings_{settings}, calls_{calls}, on_published_{std::move(on_published)} {}
 
     /** Starts to publish; the end comes as finish_publication. Publishing the same apply id again is safe.
         @param base_sheet the sheet of the revision that it is based on, to count changed lines */
-    void publish(publication_request request, const std::string& base_sheet, time_point now, command_list& out);
+    void publish(publication_request request, const std::string& base_sheet, time_point now,
+                 command_list& out);
     /** Timed work: read back after lost answers. */
     void on_tick(time_point now, command_list& out);
 
--- a/modules/coordination/load_budget.cpp
+++ b/modules/coordination/load_budget.cpp
@@ -41,10 +41,11 @@
 
     std::vector<load_ticket> grants;
     while (tokens_ >= 1.0 && !waiting_.empty() && granted_.size() < limits.loads_in_flight) {
-        const auto heaviest = std::max_element(waiting_.begin(), waiting_.end(), [](const auto& a, const auto& b) {
-            return a.second.weight < b.second.weight ||
-                   (a.second.weight == b.second.weight && a.second.asked > b.second.asked);
-        });
+        const auto heaviest =
+            std::max_element(waiting_.begin(), waiting_.end(), [](const auto& a, const auto& b) {
+                return a.second.weight < b.second.weight ||
+                       (a.second.weight == b.second.weight && a.second.asked > b.second.asked);
+            });
         tokens_ -= 1.0;
         granted_.emplace(heaviest->first, now);
         grants.push_back(heaviest->first);
--- a/modules/coordination/membership.cpp
+++ b/modules/coordination/membership.cpp
@@ -140,7 +140,8 @@
     }
     std::sort(here.rbegin(), here.rend());
     here.resize(std::min<std::size_t>(here.size(), settings_.watchers_per_data_centre));
-    return std::any_of(here.begin(), here.end(), [&](const auto& entry) { return entry.second == self_.name; });
+    return std::any_of(here.begin(), here.end(),
+                       [&](const auto& entry) { return entry.second == self_.name; });
 }
 
 instance_name membership::budget_holder() const {
--- a/modules/coordination/node.cpp
+++ b/modules/coordination/node.cpp
@@ -35,16 +35,16 @@
 };
 
 node::node(instance_identity identity, coordination_settings settings, event_log log)
-    : identity_{std::move(identity)}, settings_{settings}, log_{std::move(log)}, members_{identity_, settings_},
-      control_calls_{request_shard_count + 1, request_shard_count + 1},
-      ownership_{identity_, settings_, log_, members_, control_calls_},
+    : identity_{std::move(identity)}, settings_{settings}, log_{std::move(log)}, members_{identity_,
+                                                                                          settings_},
+      control_calls_{request_shard_count + 1, request_shard_count + 1}, ownership_{identity_, settings_, log_,
+                                                                                   members_, control_calls_},
       configurations_{identity_, settings_, log_, members_, control_calls_},
       publisher_{settings_, control_calls_,
                  [this](const protocol::RevisionRecord& record, const std::vector<std::string>& parts) {
                      configurations_.offer(record.revision(), record.digest(), parts, "operator");
                  }},
-      budget_{settings_},
-      router_{identity_, settings_}, quarantine_{settings_.crash_limit} {
+      budget_{settings_}, router_{identity_, settings_}, quarantine_{settings_.crash_limit} {
     request_table::hooks hooks;
     hooks.pick = [this](const protocol::RequestSpec& spec, const std::set<server_name>& excluded) {
         const std::scoped_lock lock{router_mutex_};
@@ -59,7 +59,8 @@
         router_.on_not_owner(server, owner);
     };
     for (std::size_t index = 0; index < request_shard_count; ++index) {
-        request_shards_[index] = std::make_unique<request_shard>(index + 1, identity_, settings_, log_, hooks);
+        request_shards_[index] =
+            std::make_unique<request_shard>(index + 1, identity_, settings_, log_, hooks);
     }
 }
 
@@ -161,7 +162,7 @@
     command_list settled;
     while (!commands.empty()) {
         command_list more;
-        for (command& item : commands) {
+        for (node_command& item : commands) {
             auto* message = std::get_if<send_peer>(&item);
             if (message == nullptr) {
                 settled.push_back(std::move(item));
@@ -416,20 +417,24 @@
                     [&](request_table& table) { table.on_ended(from, message.ended(), now, out); });
         break;
     case protocol::Envelope::kCancel:
-        with_owner(server_name{message.cancel().server()}, now, out, [&](server_owner& owner, const configuration&) {
-            owner.on_cancel({request_id{message.cancel().request()}, message.cancel().attempt()}, now, out);
-        });
+        with_owner(server_name{message.cancel().server()}, now, out,
+                   [&](server_owner& owner, const configuration&) {
+                       owner.on_cancel({request_id{message.cancel().request()}, message.cancel().attempt()},
+                                       now, out);
+                   });
         break;
     case protocol::Envelope::kCredit:
-        with_owner(server_name{message.credit().server()}, now, out, [&](server_owner& owner, const configuration&) {
-            owner.on_credit({request_id{message.credit().request()}, message.credit().attempt()},
-                            message.credit().tokens(), out);
-        });
+        with_owner(server_name{message.credit().server()}, now, out,
+                   [&](server_owner& owner, const configuration&) {
+                       owner.on_credit({request_id{message.credit().request()}, message.credit().attempt()},
+                                       message.credit().tokens(), out);
+                   });
         break;
     case protocol::Envelope::kBudgetRequest: {
         const std::scoped_lock lock{control_mutex_};
         const auto& request = message.budget_request();
-        budget_.on_request({from, server_name{request.server()}, adapter_key{request.adapter()}}, request.weight(), now);
+        budget_.on_request({from, server_name{request.server()}, adapter_key{request.adapter()}},
+                           request.weight(), now);
         break;
     }
     case protocol::Envelope::kBudgetRelease: {
@@ -494,8 +499,8 @@
     out.emplace_back(send_peer{from, std::move(message)});
 }
 
-void node::on_heartbeat(const instance_name& from, const start_id& start, const protocol::Heartbeat& heartbeat,
-                        time_point now, command_list& out) {
+void node::on_heartbeat(const instance_name& from, const start_id& start,
+                        const protocol::Heartbeat& heartbeat, time_point now, command_list& out) {
     membership::change change = membership::change::none;
     {
         const std::scoped_lock lock{control_mutex_};
@@ -535,7 +540,8 @@
         }
     }
     for (const auto& [name, server_start] : leaving) {
-        log_(event::server_leaving, fmt::format("server={} start={} source={}", name.text(), server_start.text(), from.text()));
+        log_(event::server_leaving,
+             fmt::format("server={} start={} source={}", name.text(), server_start.text(), from.text()));
         with_owner(name, now, out, [&](server_owner& owner, const configuration&) {
             owner.set_leaving(server_start, now, out);
         });
@@ -565,12 +571,13 @@
     }
     is_listing_ = true;
     next_list_ = now + list_interval;
-    control_calls_.start({0, platform_operation::list_instances, "", "", 0, ""},
-                         [this](const platform_answer& answer, time_point when, command_list& commands) {
-                             is_listing_ = false;
-                             on_list(answer, when, commands);
-                         },
-                         out);
+    control_calls_.start(
+        {0, platform_operation::list_instances, "", "", 0, ""},
+        [this](const platform_answer& answer, time_point when, command_list& commands) {
+            is_listing_ = false;
+            on_list(answer, when, commands);
+        },
+        out);
 }
 
 void node::on_list(const platform_answer& answer, time_point now, command_list& out) {
@@ -583,8 +590,8 @@
     }
     std::vector<listed_instance> list;
     for (const auto& item : json) {
-        list.push_back({item.value("name", ""), item.value("address", ""), item.value("state", "") == "leaving",
-                        item.value("kind", "") == "backend"});
+        list.push_back({item.value("name", ""), item.value("address", ""),
+                        item.value("state", "") == "leaving", item.value("kind", "") == "backend"});
     }
     members_.on_list(list, now);
     listed_leaving_.clear();
@@ -625,10 +632,10 @@
         }
     }
     for (const auto& [server, start] : fresh) {
-        log_(event::server_leaving, fmt::format("server={} start={} source=list", server.text(), start.text()));
-        with_owner(server, now, out, [&](server_owner& owner, const configuration&) {
-            owner.set_leaving(start, now, out);
-        });
+        log_(event::server_leaving,
+             fmt::format("server={} start={} source=list", server.text(), start.text()));
+        with_owner(server, now, out,
+                   [&](server_owner& owner, const configuration&) { owner.set_leaving(start, now, out); });
     }
 }
 
@@ -751,8 +758,9 @@
         return;
     }
     for (const load_ticket& ticket : budget_.take_grants(config->store, now)) {
-        log_(event::load_budget_granted, fmt::format("server={} adapter={} owner={} in_flight={}", ticket.server.text(),
-                                                     ticket.key.text(), ticket.owner.text(), budget_.in_flight()));
+        log_(event::load_budget_granted,
+             fmt::format("server={} adapter={} owner={} in_flight={}", ticket.server.text(),
+                         ticket.key.text(), ticket.owner.text(), budget_.in_flight()));
         protocol::Envelope message;
         message.mutable_budget_grant()->set_server(ticket.server.text());
         message.mutable_budget_grant()->set_adapter(ticket.key.text());
@@ -850,8 +858,14 @@
     }
     const std::scoped_lock lock{router_mutex_};
     for (const auto& [name, view] : router_.servers()) {
-        status.servers.push_back({name, view.owner, view.epoch, view.load.start, view.load.is_ready,
-                                  router_.is_leaving(name), view.load.running, view.load.waiting,
+        status.servers.push_back({name,
+                                  view.owner,
+                                  view.epoch,
+                                  view.load.start,
+                                  view.load.is_ready,
+                                  router_.is_leaving(name),
+                                  view.load.running,
+                                  view.load.waiting,
                                   {view.adapters.begin(), view.adapters.end()}});
     }
     return status;
--- a/modules/coordination/ownership_keeper.cpp
+++ b/modules/coordination/ownership_keeper.cpp
@@ -71,7 +71,8 @@
         last_rebalance_ = now;
     }
     for (auto& [name, item] : entries_) {
-        const bool is_announced = !item.announced_owner.is_empty() && members_.is_live(item.announced_owner) &&
+        const bool is_announced = !item.announced_owner.is_empty() &&
+                                  members_.is_live(item.announced_owner) &&
                                   item.announced_owner != self_.name;
         if (is_announced) {
             item.unannounced_since = time_point{};
@@ -89,11 +90,13 @@
                                        command_list& out) {
     const auto declared = declared_.find(server);
     const bool is_possible = declared != declared_.end() && !is_draining_ &&
-                             (!item.held_epoch || item.is_drained) && !item.is_call_open && now >= item.next_try;
+                             (!item.held_epoch || item.is_drained) && !item.is_call_open &&
+                             now >= item.next_try;
     if (!is_possible || desired_owner(declared->second) != self_.name) {
         return;
     }
-    const bool is_announced = item.unannounced_since == time_point{} || now - item.unannounced_since < unannounced_limit;
+    const bool is_announced =
+        item.unannounced_since == time_point{} || now - item.unannounced_since < unannounced_limit;
     const bool is_blocked = !item.announced_owner.is_empty() && item.announced_owner != self_.name &&
                             !members_.is_suspected_by_majority(item.announced_owner);
     if (is_announced || is_blocked) {
@@ -105,11 +108,12 @@
 
 void ownership_keeper::read(const server_name& server, entry& item, command_list& out) {
     item.is_call_open = true;
-    calls_.start({0, platform_operation::get, ownership_kind, server.text(), 0, ""},
-                 [this, server](const platform_answer& answer, time_point now, command_list& commands) {
-                     on_read(server, answer, now, commands);
-                 },
-                 out);
+    calls_.start(
+        {0, platform_operation::get, ownership_kind, server.text(), 0, ""},
+        [this, server](const platform_answer& answer, time_point now, command_list& commands) {
+            on_read(server, answer, now, commands);
+        },
+        out);
 }
 
 void ownership_keeper::on_read(const server_name& server, const platform_answer& answer, time_point now,
@@ -149,10 +153,11 @@
     // Someone else's record: it is taken only from an owner that is dead or suspected, or from none.
     const protocol::Holder& owner = record.owner();
     const instance_name owner_name{owner.instance()};
-    const bool is_free = answer.status == platform_status::not_found || owner.instance().empty() ||
-                         members_.is_gone(owner_name, start_id{owner.start()}, now) ||
-                         members_.is_suspected_by_majority(owner_name) ||
-                         (!members_.peers().contains(owner_name) && now - *started_ >= 2 * settings_.suspect_after);
+    const bool is_free =
+        answer.status == platform_status::not_found || owner.instance().empty() ||
+        members_.is_gone(owner_name, start_id{owner.start()}, now) ||
+        members_.is_suspected_by_majority(owner_name) ||
+        (!members_.peers().contains(owner_name) && now - *started_ >= 2 * settings_.suspect_after);
     if (!is_free) {
         item.step = phase::none;
         return;
@@ -176,11 +181,12 @@
                              command_list& out) {
     item.is_call_open = true;
     item.pending = std::move(record);
-    calls_.start({0, platform_operation::put, ownership_kind, server.text(), item.version, to_json(*item.pending)},
-                 [this, server](const platform_answer& answer, time_point now, command_list& commands) {
-                     on_write(server, answer, now, commands);
-                 },
-                 out);
+    calls_.start(
+        {0, platform_operation::put, ownership_kind, server.text(), item.version, to_json(*item.pending)},
+        [this, server](const platform_answer& answer, time_point now, command_list& commands) {
+            on_write(server, answer, now, commands);
+        },
+        out);
 }
 
 void ownership_keeper::on_write(const server_name& server, const platform_answer& answer, time_point now,
@@ -219,8 +225,8 @@
         message.mutable_handover()->set_server(server.text());
         message.mutable_handover()->set_epoch(item.record.owner().epoch());
         out.emplace_back(send_peer{successor, std::move(message)});
-        log_(event::ownership_handed_over, fmt::format("server={} to={} epoch={}", server.text(), successor.text(),
-                                                       item.record.owner().epoch()));
+        log_(event::ownership_handed_over, fmt::format("server={} to={} epoch={}", server.text(),
+                                                       successor.text(), item.record.owner().epoch()));
         item.announced_owner = successor;
         item.announced_epoch = item.record.owner().epoch();
         item.take_backoff = duration{}; // Given away, not lost to a competitor.
@@ -246,9 +252,9 @@
         changed.former = {item.record.former().begin(), item.record.former().end()};
         events_.push_back(std::move(changed));
     }
-    log_(event::evict_intents_recorded, fmt::format("server={} epoch={} intents={} former={}", server.text(),
-                                                    recorded.epoch, recorded.intents.size(),
-                                                    item.record.former_size()));
+    log_(event::evict_intents_recorded,
+         fmt::format("server={} epoch={} intents={} former={}", server.text(), recorded.epoch,
+                     recorded.intents.size(), item.record.former_size()));
     events_.push_back(std::move(recorded));
 }
 
@@ -270,8 +276,8 @@
     began.server = server;
     began.epoch = item.record.owner().epoch();
     began.former = {item.record.former().begin(), item.record.former().end()};
-    log_(event::ownership_taken, fmt::format("server={} epoch={} former={}", server.text(), began.epoch,
-                                             began.former.size()));
+    log_(event::ownership_taken,
+         fmt::format("server={} epoch={} former={}", server.text(), began.epoch, began.former.size()));
     events_.push_back(std::move(began));
 }
 
@@ -281,7 +287,8 @@
     item.needs_read_back = false;
     item.take_backoff = std::clamp<duration>(item.take_backoff * 2, first_take_backoff, last_take_backoff);
     item.next_try = now + item.take_backoff;
-    log_(event::ownership_lost, fmt::format("server={} epoch={}", server.text(), item.held_epoch.value_or(0)));
+    log_(event::ownership_lost,
+         fmt::format("server={} epoch={}", server.text(), item.held_epoch.value_or(0)));
     ownership_event lost;
     lost.what = ownership_event::kind::lost;
     lost.server = server;
@@ -293,7 +300,8 @@
     google::protobuf::RepeatedPtrField<protocol::Holder> remaining;
     for (const protocol::Holder& holder : record.former()) {
         const auto key = holder_key(holder);
-        const bool is_gone = members_.is_gone(instance_name{holder.instance()}, start_id{holder.start()}, now);
+        const bool is_gone =
+            members_.is_gone(instance_name{holder.instance()}, start_id{holder.start()}, now);
         if (!is_gone) {
             item.gone_since.erase(key);
         }
@@ -348,7 +356,8 @@
     write_wishes(server, item, now, out);
 }
 
-void ownership_keeper::write_wishes(const server_name& server, entry& item, time_point now, command_list& out) {
+void ownership_keeper::write_wishes(const server_name& server, entry& item, time_point now,
+                                    command_list& out) {
     protocol::OwnershipRecord next = item.record;
     const bool has_fewer_holders = drop_finished_holders(item, next, now);
     const bool wants_confirmation = item.wanted_ticket > item.recorded_ticket;
@@ -383,7 +392,8 @@
 void ownership_keeper::write_successor(const server_name& server, entry& item, time_point now,
                                        command_list& out) {
     const auto declared = declared_.find(server);
-    const instance_name successor = declared == declared_.end() ? instance_name{} : desired_owner(declared->second);
+    const instance_name successor =
+        declared == declared_.end() ? instance_name{} : desired_owner(declared->second);
     const auto peer = members_.peers().find(successor);
     const bool has_successor = peer != members_.peers().end();
     if (item.has_open_order) {
@@ -448,7 +458,8 @@
     maintain(server, item->second, now, out);
 }
 
-void ownership_keeper::on_announced(const server_name& server, const instance_name& owner, std::uint64_t epoch) {
+void ownership_keeper::on_announced(const server_name& server, const instance_name& owner,
+                                    std::uint64_t epoch) {
     entry& item = entries_[server];
     if (epoch >= item.announced_epoch) {
         item.announced_epoch = epoch;
@@ -463,7 +474,8 @@
         return;
     }
     item->second.drained.emplace(from.text(), start.text());
-    log_(event::holder_drained, fmt::format("server={} holder={} epoch={}", drained.server(), from.text(), drained.epoch()));
+    log_(event::holder_drained,
+         fmt::format("server={} holder={} epoch={}", drained.server(), from.text(), drained.epoch()));
     maintain(item->first, item->second, now, out);
     const auto& former = item->second.record.former();
     const bool is_recorded = std::none_of(former.begin(), former.end(), [&](const protocol::Holder& holder) {
@@ -508,7 +520,8 @@
 bool ownership_keeper::is_released() const {
     return std::none_of(entries_.begin(), entries_.end(), [](const auto& item) {
         const bool has_successor = item.second.announced_epoch > item.second.held_epoch.value_or(0);
-        const bool owes_report = item.second.held_epoch.has_value() && (has_successor || !item.second.is_drained);
+        const bool owes_report =
+            item.second.held_epoch.has_value() && (has_successor || !item.second.is_drained);
         return item.second.step != phase::none || owes_report;
     });
 }
--- a/modules/coordination/request_table.cpp
+++ b/modules/coordination/request_table.cpp
@@ -37,7 +37,8 @@
     fresh.accepted = now;
     fresh.unrouted_since = now;
     if (hooks_.is_condemned(fresh.ticket.spec.fingerprint())) {
-        finish(item, not_run({"entry.quarantine", "", "this request crashed engines and is quarantined"}), now, out);
+        finish(item, not_run({"entry.quarantine", "", "this request crashed engines and is quarantined"}),
+               now, out);
         return;
     }
     const bool needs_claim = !fresh.ticket.idempotency_key.empty() && settings_.safeguard.claims;
@@ -62,11 +63,12 @@
 
 void request_table::claim(const request_id& id, time_point /*now*/, command_list& out) {
     const std::string name = claim_name(entries_.at(id).ticket);
-    calls_.start({0, platform_operation::put, claim_kind, name, 0, claim_data(id, "running")},
-                 [this, id, name](const platform_answer& answer, time_point when, command_list& commands) {
-                     on_claim_answer(id, name, answer, when, commands);
-                 },
-                 out);
+    calls_.start(
+        {0, platform_operation::put, claim_kind, name, 0, claim_data(id, "running")},
+        [this, id, name](const platform_answer& answer, time_point when, command_list& commands) {
+            on_claim_answer(id, name, answer, when, commands);
+        },
+        out);
 }
 
 void request_table::on_claim_answer(const request_id& id, const std::string& name,
@@ -92,11 +94,12 @@
 
 void request_table::read_claim(const request_id& id, const std::string& name, command_list& out) {
     entries_.at(id).not_before = time_point::max();
-    calls_.start({0, platform_operation::get, claim_kind, name, 0, ""},
-                 [this, id, name](const platform_answer& answer, time_point when, command_list& commands) {
-                     on_claim_read(id, name, answer, when, commands);
-                 },
-                 out);
+    calls_.start(
+        {0, platform_operation::get, claim_kind, name, 0, ""},
+        [this, id, name](const platform_answer& answer, time_point when, command_list& commands) {
+            on_claim_read(id, name, answer, when, commands);
+        },
+        out);
 }
 
 void request_table::on_claim_read(const request_id& id, const std::string& name,
@@ -132,8 +135,8 @@
 
 void request_table::refuse_duplicate(entry_map::iterator item, const protocol::ClaimRecord& record,
                                      time_point now, command_list& out) {
-    log_(event::request_duplicate, fmt::format("request={} first={} state={}", item->first.text(),
-                                               record.request(), record.state()));
+    log_(event::request_duplicate,
+         fmt::format("request={} first={} state={}", item->first.text(), record.request(), record.state()));
     request_result result;
     result.outcome = record.state() == "done"     ? protocol::DONE
                      : record.state() == "failed" ? protocol::FAILED
@@ -159,13 +162,14 @@
             releases_.erase(name);
             return;
         }
-        calls_.start({0, platform_operation::remove, claim_kind, name, read.version, ""},
-                     [this, name](const platform_answer& removed, time_point /*at*/, command_list& /*more*/) {
-                         if (removed.status == platform_status::ok) {
-                             releases_.erase(name);
-                         }
-                     },
-                     commands);
+        calls_.start(
+            {0, platform_operation::remove, claim_kind, name, read.version, ""},
+            [this, name](const platform_answer& removed, time_point /*at*/, command_list& /*more*/) {
+                if (removed.status == platform_status::ok) {
+                    releases_.erase(name);
+                }
+            },
+            commands);
     };
     calls_.start({0, platform_operation::get, claim_kind, name, 0, ""}, on_read, out);
 }
@@ -182,8 +186,9 @@
                               : outcome == protocol::FAILED ? "failed"
                                                             : "unknown";
     // Only for the caller's information: the claim stands whether or not this write succeeds.
-    calls_.start({0, platform_operation::put, claim_kind, name, *item.claim_version, claim_data(id, state)},
-                 [](const platform_answer&, time_point, command_list&) {}, out);
+    calls_.start(
+        {0, platform_operation::put, claim_kind, name, *item.claim_version, claim_data(id, state)},
+        [](const platform_answer&, time_point, command_list&) {}, out);
 }
 
 void request_table::start(entry_map::iterator item, time_point now, command_list& out) {
@@ -209,7 +214,8 @@
 void request_table::forward(entry_map::iterator item, time_point now, command_list& out) {
     entry& request = item->second;
     if (hooks_.is_condemned(request.ticket.spec.fingerprint())) {
-        finish(item, not_run({"entry.quarantine", "", "this request crashed engines and is quarantined"}), now, out);
+        finish(item, not_run({"entry.quarantine", "", "this request crashed engines and is quarantined"}),
+               now, out);
         return;
     }
     const auto chosen = hooks_.pick(request.ticket.spec, request.excluded);
@@ -224,11 +230,12 @@
     request.owner = chosen->owner;
     request.uncredited = 0;
     const auto remaining = std::chrono::duration_cast<milliseconds>(request.ticket.deadline - now);
-    request.ticket.spec.set_remaining_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(remaining.count(), 1)));
+    request.ticket.spec.set_remaining_ms(
+        static_cast<std::uint32_t>(std::max<std::int64_t>(remaining.count(), 1)));
     log_(event::request_routed,
          fmt::format("request={} attempt={} adapter={} server={} owner={} loaded={} remote={} cost_us={}",
-                     item->first.text(), request.attempt, request.ticket.spec.adapter(), chosen->server.text(),
-                     chosen->owner.text(), chosen->is_loaded, chosen->is_remote,
+                     item->first.text(), request.attempt, request.ticket.spec.adapter(),
+                     chosen->server.text(), chosen->owner.text(), chosen->is_loaded, chosen->is_remote,
                      std::chrono::duration_cast<std::chrono::microseconds>(chosen->cost).count()));
     protocol::Envelope message;
     auto* submit = message.mutable_submit();
@@ -238,9 +245,8 @@
     out.emplace_back(send_peer{chosen->owner, std::move(message)});
 }
 
-request_table::entry_map::iterator request_table::find_attempt(const instance_name& from,
-                                                               const std::string& request,
-                                                               std::uint32_t attempt) {
+request_table::entry_map::iterator
+request_table::find_attempt(const instance_name& from, const std::string& request, std::uint32_t attempt) {
     const auto item = entries_.find(request_id{request});
     if (item == entries_.end()) {
         return item;
@@ -290,10 +296,14 @@
     if (item == entries_.end()) {
         return;
     }
-    request_result result{ended.outcome(), {ended.step(), from.text(), ended.reason()}, milliseconds{0}, false};
+    request_result result{
+        ended.outcome(), {ended.step(), from.text(), ended.reason()}, milliseconds{0}, false};
     const bool is_short = result.outcome == protocol::DONE && ended.tokens() != item->second.next_offset;
     if (is_short) {
-        result = {protocol::FAILED, {"entry.stream", from.text(), "tokens were lost on the way"}, milliseconds{0}, false};
+        result = {protocol::FAILED,
+                  {"entry.stream", from.text(), "tokens were lost on the way"},
+                  milliseconds{0},
+                  false};
     }
     retry_or_finish(item, result, now, out);
 }
@@ -314,7 +324,8 @@
             affected.push_back(id);
         }
     }
-    const request_result result{protocol::UNKNOWN, {"entry.forward", owner.text(), "the owner is lost"}, milliseconds{0}, false};
+    const request_result result{
+        protocol::UNKNOWN, {"entry.forward", owner.text(), "the owner is lost"}, milliseconds{0}, false};
     for (const request_id& id : affected) {
         retry_or_finish(entries_.find(id), result, now, out);
     }
@@ -337,8 +348,9 @@
         finish(item, std::move(final_result), now, out);
         return;
     }
-    log_(event::request_retried, fmt::format("request={} attempt={} server={} cause=\"{}\"", item->first.text(),
-                                             request.attempt, request.server.text(), result.why.text()));
+    log_(event::request_retried,
+         fmt::format("request={} attempt={} server={} cause=\"{}\"", item->first.text(), request.attempt,
+                     request.server.text(), result.why.text()));
     const bool is_unknown = result.outcome == protocol::UNKNOWN;
     wait_for_route(request, result.why, is_unknown ? duration{crash_pause} : duration{retry_pause}, now);
     request.has_unknown_attempt = request.has_unknown_attempt || is_unknown;
@@ -356,8 +368,9 @@
     request.step = phase::cancelling;
     request.cancel_since = now;
     request.cancel_reason = why;
-    log_(event::request_cancelled, fmt::format("request={} attempt={} server={} cause=\"{}\"", item->first.text(),
-                                               request.attempt, request.server.text(), why.text()));
+    log_(event::request_cancelled,
+         fmt::format("request={} attempt={} server={} cause=\"{}\"", item->first.text(), request.attempt,
+                     request.server.text(), why.text()));
     protocol::Envelope message;
     auto* order = message.mutable_cancel();
     order->set_request(item->first.text());
@@ -400,7 +413,8 @@
     out.emplace_back(send_peer{item.owner, std::move(message)});
 }
 
-void request_table::finish(entry_map::iterator item, request_result result, time_point now, command_list& out) {
+void request_table::finish(entry_map::iterator item, request_result result, time_point now,
+                           command_list& out) {
     const entry& request = item->second;
     if (result.outcome == protocol::NOT_RUN && request.has_unknown_attempt) {
         result.outcome = protocol::UNKNOWN; // An earlier attempt may have run.
@@ -411,10 +425,9 @@
     log_(event::request_finished,
          fmt::format("request={} outcome={} attempts={} tokens={} ms={} why=\"{}\"", item->first.text(),
                      protocol::Outcome_Name(result.outcome), request.attempt, request.next_offset,
-                     std::chrono::duration_cast<milliseconds>(now - request.accepted).count(), result.why.text()));
-    if (!request.is_caller_gone) {
-        out.emplace_back(finish_request{item->first, std::move(result)});
-    }
+                     std::chrono::duration_cast<milliseconds>(now - request.accepted).count(),
+                     result.why.text()));
+    out.emplace_back(finish_request{item->first, std::move(result)});
     entries_.erase(item);
 }
 
@@ -430,7 +443,8 @@
     for (const request_id& id : due) {
         const auto item = entries_.find(id);
         entry& request = item->second;
-        const bool is_claim_late = request.step == phase::claiming && now - request.accepted >= settings_.claim_limit;
+        const bool is_claim_late =
+            request.step == phase::claiming && now - request.accepted >= settings_.claim_limit;
         if (request.step == phase::cancelling) {
             if (now - request.cancel_since >= settings_.cancel_grace) {
                 finish(item, {protocol::UNKNOWN, request.cancel_reason, milliseconds{0}, false}, now, out);
@@ -445,9 +459,11 @@
                 schedule_release(claim_name(request.ticket), id, now);
             }
             cancel(item, {"entry.deadline", "", "the deadline passed"}, now, out);
-        } else if (request.step == phase::claiming && request.not_before != time_point{} && now >= request.not_before) {
+        } else if (request.step == phase::claiming && request.not_before != time_point{} &&
+                   now >= request.not_before) {
             read_claim(id, claim_name(request.ticket), out);
-        } else if (request.step == phase::unrouted && now - request.unrouted_since >= settings_.unrouted_limit) {
+        } else if (request.step == phase::unrouted &&
+                   now - request.unrouted_since >= settings_.unrouted_limit) {
             finish(item, not_run(request.last_reason), now, out);
         } else if (request.step == phase::unrouted && now >= request.not_before) {
             start(item, now, out);
--- a/modules/coordination/router.cpp
+++ b/modules/coordination/router.cpp
@@ -43,8 +43,8 @@
 bool router::on_report(const instance_name& owner, const protocol::ServerReport& report) {
     const server_name name{report.server()};
     server_view& view = views_[name];
-    const bool is_older = report.epoch() < view.epoch || (report.epoch() == view.epoch && view.owner != owner &&
-                                                          !view.owner.is_empty());
+    const bool is_older = report.epoch() < view.epoch ||
+                          (report.epoch() == view.epoch && view.owner != owner && !view.owner.is_empty());
     if (is_older) {
         return false;
     }
@@ -55,12 +55,9 @@
     }
     view.owner = owner;
     view.epoch = report.epoch();
-    view.load = {start_id{report.start()},
-                 report.running(),
-                 report.waiting(),
-                 std::chrono::microseconds{report.wait_estimate_us()},
-                 report.ready(),
-                 report.generation()};
+    view.load = {start_id{report.start()}, report.running(),
+                 report.waiting(),         std::chrono::microseconds{report.wait_estimate_us()},
+                 report.ready(),           report.generation()};
     view.sent = 0;
     if (report.has_adapters()) {
         unindex(name, view);
@@ -145,8 +142,8 @@
     return entry->second.servers;
 }
 
-void router::consider(const server_name& server, const adapter_key& key, const std::set<server_name>& excluded,
-                      std::optional<route>& best) const {
+void router::consider(const server_name& server, const adapter_key& key,
+                      const std::set<server_name>& excluded, std::optional<route>& best) const {
     const server_view* view = find(server);
     const auto declared = config_->servers.find(server);
     const bool is_candidate = view != nullptr && declared != config_->servers.end() && view->load.is_ready &&
--- a/modules/coordination/server_owner.cpp
+++ b/modules/coordination/server_owner.cpp
@@ -32,8 +32,8 @@
 
 server_owner::server_owner(backend_server server, bool fencing, const instance_identity& self,
                            const coordination_settings& settings, const event_log& log)
-    : server_{std::move(server)}, has_fencing_{fencing}, self_{self}, settings_{settings}, log_{log},
-      slots_{server_.slots} {}
+    : server_{std::move(server)},
+      has_fencing_{fencing}, self_{self}, settings_{settings}, log_{log}, slots_{server_.slots} {}
 
 void server_owner::begin(std::uint64_t epoch, std::vector<protocol::Holder> former, time_point now,
                          command_list& out) {
@@ -97,9 +97,9 @@
     refused->set_step(is_admitting_ && is_reachable_ ? "owner.queue" : "owner.ownership");
     refused->set_reason(reason);
     send(request.from, std::move(message), out);
-    log_(event::request_refused, fmt::format("request={} attempt={} server={} reason=\"{}\"",
-                                             request.id.request.text(), request.id.attempt,
-                                             server_.name.text(), reason));
+    log_(event::request_refused,
+         fmt::format("request={} attempt={} server={} reason=\"{}\"", request.id.request.text(),
+                     request.id.attempt, server_.name.text(), reason));
 }
 
 duration server_owner::rank_of(const protocol::RequestSpec& spec) const {
@@ -140,10 +140,11 @@
     }
     waiting_.push_back(std::move(request));
     if (waiting_.size() > settings_.queue_limit) {
-        const auto least = std::min_element(waiting_.begin(), waiting_.end(), [](const auto& a, const auto& b) {
-            return a.spec.importance() < b.spec.importance() ||
-                   (a.spec.importance() == b.spec.importance() && a.arrived > b.arrived);
-        });
+        const auto least =
+            std::min_element(waiting_.begin(), waiting_.end(), [](const auto& a, const auto& b) {
+                return a.spec.importance() < b.spec.importance() ||
+                       (a.spec.importance() == b.spec.importance() && a.arrived > b.arrived);
+            });
         refuse(*least, "queue is full", out);
         waiting_.erase(least);
     }
@@ -377,9 +378,9 @@
         ++load.failures;
         load.step = load_step::backing_off;
         load.since = now;
-        log_(event::adapter_load_failed, fmt::format("server={} adapter={} failures={} answer={}",
-                                                     server_.name.text(), key.text(), load.failures,
-                                                     static_cast<int>(result)));
+        log_(event::adapter_load_failed,
+             fmt::format("server={} adapter={} failures={} answer={}", server_.name.text(), key.text(),
+                         load.failures, static_cast<int>(result)));
         if (result == order_result::already_loaded || result == order_result::no_slot) {
             out.emplace_back(probe_server{server_.name, server_.address, false});
         }
@@ -498,7 +499,8 @@
 }
 
 bool server_owner::has_lone_run() const {
-    return std::any_of(running_.begin(), running_.end(), [](const auto& entry) { return entry.second.is_alone; });
+    return std::any_of(running_.begin(), running_.end(),
+                       [](const auto& entry) { return entry.second.is_alone; });
 }
 
 bool server_owner::may_admit(const waiting_request& request) const {
@@ -549,7 +551,8 @@
     running.last_token = now;
     running.is_alone = suspects_.contains(running.fingerprint);
     running_.emplace(request->id, std::move(running));
-    out.emplace_back(dispatch_request{server_.name, server_.address, start_, request->id, std::move(request->spec)});
+    out.emplace_back(
+        dispatch_request{server_.name, server_.address, start_, request->id, std::move(request->spec)});
     waiting_.erase(request);
 }
 
@@ -581,10 +584,12 @@
     for (const auto& [key, weight] : weights) {
         auto [load, is_new] = loads_.try_emplace(key, wanted_load{load_step::asking, now, 0});
         wanted_load& wanted = load->second;
-        const auto backoff = std::min<duration>(
-            settings_.load_backoff * (1 << std::min<std::uint32_t>(wanted.failures, 8)), settings_.load_backoff_limit);
+        const auto backoff =
+            std::min<duration>(settings_.load_backoff * (1 << std::min<std::uint32_t>(wanted.failures, 8)),
+                               settings_.load_backoff_limit);
         const bool is_backoff_over = wanted.step == load_step::backing_off && now - wanted.since >= backoff;
-        const bool is_repeat = wanted.step == load_step::asking && now - wanted.since >= budget_repeat_interval;
+        const bool is_repeat =
+            wanted.step == load_step::asking && now - wanted.since >= budget_repeat_interval;
         const bool is_grant_old = wanted.step == load_step::granted && now - wanted.since >= grant_hold;
         if (is_grant_old) {
             wishes_.budget_releases.push_back(key);
@@ -614,19 +619,19 @@
             open_order_ = open_order{key, true, now};
             out.emplace_back(order_load{server_.name, key, declared->second.weights_path, epoch_});
             log_(event::adapter_load_ordered,
-                 fmt::format("server={} adapter={} epoch={} waiting={}", server_.name.text(), key.text(), epoch_,
-                             waiting_.size()));
+                 fmt::format("server={} adapter={} epoch={} waiting={}", server_.name.text(), key.text(),
+                             epoch_, waiting_.size()));
             return;
         }
         const auto victim = slots_.eviction_candidate(waiting_adapters());
-        const bool is_idle =
-            victim && slots_.find(*victim) != nullptr && now - slots_.find(*victim)->last_use >= settings_.eviction_idle;
+        const bool is_idle = victim && slots_.find(*victim) != nullptr &&
+                             now - slots_.find(*victim)->last_use >= settings_.eviction_idle;
         if (slots_.is_full() && may_evict_ && is_idle && slots_.begin_unload(*victim)) {
             open_order_ = open_order{*victim, false, now};
             out.emplace_back(order_unload{server_.name, *victim, epoch_});
             log_(event::adapter_evict_ordered,
-                 fmt::format("server={} adapter={} epoch={} for={}", server_.name.text(), victim->text(), epoch_,
-                             key.text()));
+                 fmt::format("server={} adapter={} epoch={} for={}", server_.name.text(), victim->text(),
+                             epoch_, key.text()));
             touch_generation();
             return;
         }
@@ -645,7 +650,8 @@
     const auto& recorded = slots_.recorded_intents();
     const auto idle_intents = std::count_if(recorded.begin(), recorded.end(), [&](const adapter_key& key) {
         const slot* entry = slots_.find(key);
-        return entry != nullptr && entry->state == slot_state::loaded && entry->uses == 0 && !entry->is_inherited;
+        return entry != nullptr && entry->state == slot_state::loaded && entry->uses == 0 &&
+               !entry->is_inherited;
     });
     if (idle_intents > 0) {
         return;
--- a/modules/coordination/sheet_publisher.cpp
+++ b/modules/coordination/sheet_publisher.cpp
@@ -53,11 +53,12 @@
 
 void sheet_publisher::read_head(const std::string& id, command_list& out) {
     publications_.at(id).next_try = time_point::max();
-    calls_.start({0, platform_operation::get, head_kind, head_name, 0, ""},
-                 [this, id](const platform_answer& answer, time_point now, command_list& commands) {
-                     on_head(id, answer, now, commands);
-                 },
-                 out);
+    calls_.start(
+        {0, platform_operation::get, head_kind, head_name, 0, ""},
+        [this, id](const platform_answer& answer, time_point now, command_list& commands) {
+            on_head(id, answer, now, commands);
+        },
+        out);
 }
 
 void sheet_publisher::on_head(const std::string& id, const platform_answer& answer, time_point now,
@@ -77,8 +78,8 @@
     }
     if (head.revision() != item.request.based_on) {
         finish(id, publication_status::conflict,
-               "the sheet was planned on revision " + std::to_string(item.request.based_on) + ", in force is " +
-                   std::to_string(head.revision()),
+               "the sheet was planned on revision " + std::to_string(item.request.based_on) +
+                   ", in force is " + std::to_string(head.revision()),
                head, out);
         return;
     }
@@ -107,11 +108,12 @@
         call.if_version = is_head ? item.head_version : 0;
         call.data = to_json(item.record);
     }
-    calls_.start(std::move(call),
-                 [this, id](const platform_answer& answer, time_point now, command_list& commands) {
-                     on_write(id, answer, now, commands);
-                 },
-                 out);
+    calls_.start(
+        std::move(call),
+        [this, id](const platform_answer& answer, time_point now, command_list& commands) {
+            on_write(id, answer, now, commands);
+        },
+        out);
 }
 
 void sheet_publisher::on_write(const std::string& id, const platform_answer& answer, time_point now,
--- /dev/null
+++ b/modules/service/include/lovageledge/service/metrics.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "lovageledge/base/base.hpp"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics.hpp>
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace lovageledge {
+
+/** Counters and distributions of one instance, in the text format that Prometheus reads. Thread-safe. */
+class metrics {
+public:
+    metrics() = default;
+    metrics(const metrics&) = delete;
+    metrics& operator=(const metrics&) = delete;
+
+    /** Adds to a counter. @param name with labels, as in requests_total{outcome="done"} */
+    void count(const std::string& name, std::uint64_t amount = 1);
+    /** Adds a sample, in seconds, to a distribution. */
+    void observe(const std::string& name, duration sample);
+    /** @returns all of them as text */
+    std::string text() const;
+
+private:
+    /** Quantiles by the P-square algorithm (Jain and Chlamtac 1985), as Boost.Accumulators has it. */
+    using quantile = boost::accumulators::accumulator_set<
+        double, boost::accumulators::stats<boost::accumulators::tag::p_square_quantile>>;
+    struct distribution {
+        distribution();
+        boost::accumulators::accumulator_set<
+            double, boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum,
+                                               boost::accumulators::tag::max>>
+            summary;
+        std::map<double, quantile> quantiles;
+    };
+
+    mutable std::mutex mutex_;
+    std::map<std::string, std::uint64_t> counters_;
+    std::map<std::string, distribution> distributions_;
+};
+
+} // namespace lovageledge
--- a/modules/state/include/lovageledge/state/sheet_parts.hpp
+++ b/modules/state/include/lovageledge/state/sheet_parts.hpp
@@ -20,8 +20,8 @@
 /** @returns the sheet cut into parts of at most sheet_part_bytes. Thread-safe. */
 std::vector<std::string> split_sheet(std::string_view sheet);
 
-/** @returns the name of the object that holds a part. Parts carry the apply id, so that two operators who race
-    for one revision never write the same object. */
+/** @returns the name of the object that holds a part. Parts carry the apply id, so that two operators who
+   race for one revision never write the same object. */
 std::string part_object_name(const std::string& apply_id, std::size_t index);
 
 } // namespace lovageledge
--- a/modules/state/include/lovageledge/state/slot_table.hpp
+++ b/modules/state/include/lovageledge/state/slot_table.hpp
@@ -25,7 +25,8 @@
     /** Requests admitted and not yet ended. */
     std::uint32_t uses = 0;
     time_point last_use{};
-    /** True if a former owner may be using the adapter: it is never evicted while that holder is not drained. */
+    /** True if a former owner may be using the adapter: it is never evicted while that holder is not drained.
+     */
     bool is_inherited = false;
 };
 
--- a/modules/state/include/lovageledge/state/state.hpp
+++ b/modules/state/include/lovageledge/state/state.hpp
@@ -4,6 +4,6 @@
 // Depends on: base, libcsv (the sheet).
 
 #include "lovageledge/state/configuration.hpp"
-#include "lovageledge/state/sheet_parts.hpp"
 #include "lovageledge/state/sheet.hpp"
+#include "lovageledge/state/sheet_parts.hpp"
 #include "lovageledge/state/slot_table.hpp"
--- a/modules/state/sheet.cpp
+++ b/modules/state/sheet.cpp
@@ -89,7 +89,8 @@
          {&sheet_reader::read_server,
           {"kind", "name", "pool", "region", "data_centre", "address", "slots", "batch"}}},
         {"adapter", {&sheet_reader::read_adapter, {"kind", "name", "version", "pool", "weights_path"}}},
-        {"service", {&sheet_reader::read_service, {"kind", "name", "token_sha256", "importance", "may_call"}}},
+        {"service",
+         {&sheet_reader::read_service, {"kind", "name", "token_sha256", "importance", "may_call"}}},
         {"plain", {&sheet_reader::read_plain, {"kind", "name", "address", "repeatable"}}},
     };
     return kinds;
@@ -175,9 +176,12 @@
 }
 
 void sheet_reader::read_server() {
-    const backend_server server{server_name{required_text(1)}, pool_name{required_text(2)},
-                                region_name{required_text(3)}, data_centre_name{required_text(4)},
-                                address(5),                    number(6, 1, 4096),
+    const backend_server server{server_name{required_text(1)},
+                                pool_name{required_text(2)},
+                                region_name{required_text(3)},
+                                data_centre_name{required_text(4)},
+                                address(5),
+                                number(6, 1, 4096),
                                 number(7, 1, 4096)};
     pool_references_.emplace(server.pool.text(), sheet_error{row_->line, 3, "pool", ""});
     add_unique(result_.servers, server.name, server);
@@ -196,9 +200,8 @@
 
 void sheet_reader::read_service() {
     caller_service service{service_name{required_text(1)}, required_text(2), number(3, 1, 100), {}};
-    const bool is_digest =
-        service.token_digest.size() == 64 &&
-        service.token_digest.find_first_not_of("0123456789abcdef") == std::string::npos;
+    const bool is_digest = service.token_digest.size() == 64 &&
+                           service.token_digest.find_first_not_of("0123456789abcdef") == std::string::npos;
     if (!is_digest) {
         fail(2, "the SHA-256 of the token, 64 hexadecimal digits in lower case");
     }
@@ -230,8 +233,8 @@
                                   result_.plain_services.contains(target);
             if (!is_known) {
                 errors_.push_back({0, 5, "may_call",
-                                   "pools or plain services that the sheet declares, service " +
-                                       name.text() + " names " + target});
+                                   "pools or plain services that the sheet declares, service " + name.text() +
+                                       " names " + target});
             }
         }
     }
--- a/modules/state/sheet_parts.cpp
+++ b/modules/state/sheet_parts.cpp
@@ -11,7 +11,8 @@
         sheet += part;
     }
     if (sha256_hex(sheet) != digest) {
-        why = {"configuration.assemble", "platform", "digest of revision " + std::to_string(revision) + " differs"};
+        why = {"configuration.assemble", "platform",
+               "digest of revision " + std::to_string(revision) + " differs"};
         return std::nullopt;
     }
     std::vector<sheet_error> errors;
--- a/modules/transport/http_connection.cpp
+++ b/modules/transport/http_connection.cpp
@@ -110,7 +110,8 @@
     }
     http::response_parser<http::buffer_body> parser;
     parser.body_limit(answer_limit_bytes);
-    co_await http::async_read_header(stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, code));
+    co_await http::async_read_header(stream_, buffer_, parser,
+                                     asio::redirect_error(asio::use_awaitable, code));
     if (code) {
         fail("http.read", code, why);
         co_return std::nullopt;
@@ -121,7 +122,8 @@
         parser.get().body().data = block.data();
         parser.get().body().size = block.size();
         stream_.expires_after(next_timeout());
-        co_await http::async_read_some(stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, code));
+        co_await http::async_read_some(stream_, buffer_, parser,
+                                       asio::redirect_error(asio::use_awaitable, code));
         if (code == http::error::need_buffer) {
             code = {};
         }
--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -11,7 +11,8 @@
     for (std::size_t i = 0; i < text.size(); ++i) {
         const bool is_escape = text[i] == '%' && i + 2 < text.size();
         if (is_escape) {
-            decoded.push_back(static_cast<char>(std::strtol(std::string{text.substr(i + 1, 2)}.c_str(), nullptr, 16)));
+            decoded.push_back(
+                static_cast<char>(std::strtol(std::string{text.substr(i + 1, 2)}.c_str(), nullptr, 16)));
             i += 2;
         } else {
             decoded.push_back(text[i] == '+' ? ' ' : text[i]);
@@ -75,7 +76,8 @@
     co_return co_await finish_write(code);
 }
 
-asio::awaitable<bool> http_exchange::begin_stream(std::string content_type, std::vector<http_header> headers) {
+asio::awaitable<bool> http_exchange::begin_stream(std::string content_type,
+                                                  std::vector<http_header> headers) {
     assert(!has_answered_);
     has_answered_ = true;
     is_stream_whole_ = false;
@@ -111,7 +113,8 @@
     }
     stream_.expires_after(limits_.write_timeout);
     boost::system::error_code code;
-    co_await asio::async_write(stream_, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, code));
+    co_await asio::async_write(stream_, http::make_chunk_last(),
+                               asio::redirect_error(asio::use_awaitable, code));
     is_stream_whole_ = !code;
     co_return co_await finish_write(code);
 }
@@ -127,17 +130,18 @@
     close_listener_ = std::make_shared<std::function<void()>>(std::move(function));
     const std::weak_ptr<std::function<void()>> listener = close_listener_;
     stream_.expires_never();
-    stream_.socket().async_wait(asio::socket_base::wait_read, [listener, this](boost::system::error_code code) {
-        const auto function_to_run = listener.lock();
-        if (!function_to_run) {
-            return; // The answer has begun; "this" may be gone.
-        }
-        boost::system::error_code problem;
-        const bool is_closed = code || stream_.socket().available(problem) == 0 || problem;
-        if (is_closed) {
-            (*function_to_run)();
-        }
-    });
+    stream_.socket().async_wait(
+        asio::socket_base::wait_read, [listener, this](boost::system::error_code code) {
+            const auto function_to_run = listener.lock();
+            if (!function_to_run) {
+                return; // The answer has begun; "this" may be gone.
+            }
+            boost::system::error_code problem;
+            const bool is_closed = code || stream_.socket().available(problem) == 0 || problem;
+            if (is_closed) {
+                (*function_to_run)();
+            }
+        });
 }
 
 http_server::http_server(asio::io_context& context, http_limits limits, handler on_request)
@@ -227,8 +231,8 @@
     boost::system::error_code code;
     if (buffer.size() == 0) {
         stream.expires_after(limits_.idle_timeout);
-        const std::size_t size = co_await stream.async_read_some(buffer.prepare(limits_.header_bytes),
-                                                                 asio::redirect_error(asio::use_awaitable, code));
+        const std::size_t size = co_await stream.async_read_some(
+            buffer.prepare(limits_.header_bytes), asio::redirect_error(asio::use_awaitable, code));
         if (code) {
             co_return false;
         }
@@ -245,18 +249,23 @@
     if (code) {
         const bool is_too_long = code == http::error::body_limit || code == http::error::header_limit;
         const bool is_late = code == beast::error::timeout;
-        const unsigned status = code == http::error::header_limit ? 431 : is_too_long ? 413 : is_late ? 408 : 400;
+        const unsigned status = code == http::error::header_limit ? 431
+                                : is_too_long                     ? 413
+                                : is_late                         ? 408
+                                                                  : 400;
         http::request<http::string_body> nothing;
         nothing.keep_alive(false);
         http_exchange exchange{stream, std::move(nothing), limits_};
-        nlohmann::json body{{"error", {{"step", "http.read"}, {"reason", code.message()}, {"outcome", "not_run"}}}};
+        nlohmann::json body{
+            {"error", {{"step", "http.read"}, {"reason", code.message()}, {"outcome", "not_run"}}}};
         co_await exchange.respond(status, body.dump());
         co_return false;
     }
     http_exchange exchange{stream, parser.release(), limits_};
     co_await on_request_(exchange);
     if (!exchange.has_answered() && !exchange.is_aborted()) {
-        co_await exchange.respond(500, R"({"error":{"step":"http","reason":"no answer","outcome":"unknown"}})");
+        co_await exchange.respond(500,
+                                  R"({"error":{"step":"http","reason":"no answer","outcome":"unknown"}})");
     }
     co_return exchange.keeps_alive() && stream.socket().is_open();
 }
--- a/modules/transport/include/lovageledge/transport/http_server.hpp
+++ b/modules/transport/include/lovageledge/transport/http_server.hpp
@@ -29,7 +29,8 @@
 /** One request and the means to answer it. Use it on its connection's executor only. */
 class http_exchange {
 public:
-    http_exchange(beast::tcp_stream& stream, http::request<http::string_body> request, const http_limits& limits)
+    http_exchange(beast::tcp_stream& stream, http::request<http::string_body> request,
+                  const http_limits& limits)
         : stream_{stream}, request_{std::move(request)}, limits_{limits} {}
     http_exchange(const http_exchange&) = delete;
     http_exchange& operator=(const http_exchange&) = delete;
--- a/modules/transport/peer_socket.cpp
+++ b/modules/transport/peer_socket.cpp
@@ -59,7 +59,8 @@
 }
 
 void peer_socket::implementation::receive() {
-    std::vector<zmq::pollitem_t> items{{inbound.handle(), 0, ZMQ_POLLIN, 0}, {wake_receiver.handle(), 0, ZMQ_POLLIN, 0}};
+    std::vector<zmq::pollitem_t> items{{inbound.handle(), 0, ZMQ_POLLIN, 0},
+                                       {wake_receiver.handle(), 0, ZMQ_POLLIN, 0}};
     while (true) {
         zmq::poll(items, std::chrono::milliseconds{-1});
         if ((items[1].revents & ZMQ_POLLIN) != 0) {
--- a/programs/standins/engine_main.cpp
+++ b/programs/standins/engine_main.cpp
@@ -71,7 +71,10 @@
     }
 
     json status() const {
-        return {{"start_id", start_}, {"loaded", loaded_}, {"running", running_.size()}, {"waiting", waiting_.size()},
+        return {{"start_id", start_},
+                {"loaded", loaded_},
+                {"running", running_.size()},
+                {"waiting", waiting_.size()},
                 {"leaving", is_leaving_}};
     }
 
@@ -89,10 +92,10 @@
         const std::string name = body.value("lora_name", "");
         const std::string start = start_;
         const auto refusal = [&]() -> std::optional<std::string> {
-            return refuses_fencing(body)                                   ? std::optional{"old fencing number"}
-                   : loaded_.contains(name) || loading_.contains(name)     ? std::optional{"already loaded"}
-                   : loaded_.size() + loading_.size() >= options_.slots    ? std::optional{"no slot"}
-                                                                           : std::nullopt;
+            return refuses_fencing(body)                                ? std::optional{"old fencing number"}
+                   : loaded_.contains(name) || loading_.contains(name)  ? std::optional{"already loaded"}
+                   : loaded_.size() + loading_.size() >= options_.slots ? std::optional{"no slot"}
+                                                                        : std::nullopt;
         }();
         if (refusal) {
             co_await respond_json(exchange, 409, reason(*refusal));
@@ -134,7 +137,8 @@
         }
         http_request request;
         request.target = "/weights/" + path;
-        const auto answer = co_await connection.exchange(std::move(request), std::chrono::seconds{30}, why, has_sent);
+        const auto answer =
+            co_await connection.exchange(std::move(request), std::chrono::seconds{30}, why, has_sent);
         co_return answer && answer->is_success();
     }
 
@@ -191,7 +195,8 @@
             co_await respond_json(exchange, 404, reason("adapter is not loaded"));
             co_return;
         }
-        runs_.push_back({{"request", item->request}, {"model", item->model}, {"prompt", prompt.substr(0, 64)}});
+        runs_.push_back(
+            {{"request", item->request}, {"model", item->model}, {"prompt", prompt.substr(0, 64)}});
         waiting_.push_back(item);
         if (!crash_on_.empty() && prompt.find(crash_on_) != std::string::npos) {
             co_await pause_for(std::chrono::milliseconds{50});
@@ -209,7 +214,9 @@
         bool is_open = true;
         while (is_open && start == start_) {
             while (is_open && written < item->produced) {
-                const json chunk{{"choices", {{{"index", 0}, {"text", item->model + "#" + std::to_string(written) + " "}}}}};
+                const json chunk{
+                    {"choices",
+                     {{{"index", 0}, {"text", item->model + "#" + std::to_string(written) + " "}}}}};
                 is_open = co_await exchange.write("data: " + chunk.dump() + "\n\n");
                 ++written;
             }
@@ -230,7 +237,9 @@
             exchange.abort();
             co_return;
         }
-        const json last{{"choices", {{{"index", 0}, {"text", ""}, {"finish_reason", item->is_cancelled ? "cancelled" : "length"}}}}};
+        const json last{
+            {"choices",
+             {{{"index", 0}, {"text", ""}, {"finish_reason", item->is_cancelled ? "cancelled" : "length"}}}}};
         co_await exchange.write("data: " + last.dump() + "\n\ndata: [DONE]\n\n");
         co_await exchange.end_stream();
     }
@@ -244,7 +253,9 @@
                 running_.push_back(waiting_.front());
                 waiting_.pop_front();
             }
-            const double cost = (options_.step_us + options_.step_per_request_us * static_cast<double>(running_.size())) * slow_factor_;
+            const double cost =
+                (options_.step_us + options_.step_per_request_us * static_cast<double>(running_.size())) *
+                slow_factor_;
             next = std::max(next, std::chrono::steady_clock::now() - std::chrono::milliseconds{50}) +
                    std::chrono::microseconds{static_cast<int>(running_.empty() ? 1000 : cost)};
             timer.expires_at(next);
@@ -294,13 +305,13 @@
         }
         const bool wants_log = path == "/control/log";
         const json answer = {{"runs", wants_log ? json(runs_) : json(runs_.size())},
-                               {"violations", violations_},
-                               {"loads", load_count_},
-                               {"unloads", unload_count_},
-                               {"restarts", restarts_},
-                               {"steps", steps_},
-                               {"batch_sum", batch_sum_},
-                               {"status", status()}};
+                             {"violations", violations_},
+                             {"loads", load_count_},
+                             {"unloads", unload_count_},
+                             {"restarts", restarts_},
+                             {"steps", steps_},
+                             {"batch_sum", batch_sum_},
+                             {"status", status()}};
         co_await respond_json(exchange, 200, answer);
     }
 
@@ -340,7 +351,8 @@
     app.add_option("--slots", options.slots, "adapters that fit at the same time");
     app.add_option("--batch", options.batch, "requests that run at the same time");
     app.add_option("--step-us", options.step_us, "time of one step");
-    app.add_option("--step-per-request-us", options.step_per_request_us, "further time for each request in the batch");
+    app.add_option("--step-per-request-us", options.step_per_request_us,
+                   "further time for each request in the batch");
     app.add_flag("--fencing", options.has_fencing, "refuse orders with an old fencing number");
     CLI11_PARSE(app, argc, argv);
     boost::asio::io_context context{1};
--- a/programs/standins/platform_main.cpp
+++ b/programs/standins/platform_main.cpp
@@ -30,7 +30,9 @@
 class platform_standin {
 public:
     platform_standin(asio::io_context& context, std::chrono::milliseconds list_lag)
-        : list_lag_{list_lag}, server_{context, {}, [this](http_exchange& exchange) { return handle(exchange); }} {}
+        : list_lag_{list_lag}, server_{context, {}, [this](http_exchange& exchange) {
+                                           return handle(exchange);
+                                       }} {}
 
     http_server& server() { return server_; }
 
--- a/programs/standins/standin.hpp
+++ b/programs/standins/standin.hpp
@@ -11,7 +11,8 @@
 using nlohmann::json;
 
 /** Serves a stand-in on its address until SIGTERM or SIGINT. @returns the process's exit status */
-int run_standin(const std::string& name, const std::string& address, asio::io_context& context, http_server& server);
+int run_standin(const std::string& name, const std::string& address, asio::io_context& context,
+                http_server& server);
 
 /** Answers with a JSON document. */
 asio::awaitable<void> respond_json(http_exchange& exchange, unsigned status, const json& body);
--- a/programs/standins/weight_store_main.cpp
+++ b/programs/standins/weight_store_main.cpp
@@ -10,22 +10,28 @@
 
 class weight_store_standin {
 public:
-    weight_store_standin(asio::io_context& context, double rate, int parallel, std::chrono::milliseconds load_time)
-        : rate_{rate}, parallel_{parallel}, load_time_{load_time},
-          server_{context, {}, [this](http_exchange& exchange) { return handle(exchange); }} {}
+    weight_store_standin(asio::io_context& context, double rate, int parallel,
+                         std::chrono::milliseconds load_time)
+        : rate_{rate}, parallel_{parallel}, load_time_{load_time}, server_{context,
+                                                                           {},
+                                                                           [this](http_exchange& exchange) {
+                                                                               return handle(exchange);
+                                                                           }} {}
 
     http_server& server() { return server_; }
 
 private:
     asio::awaitable<void> handle(http_exchange& exchange) {
         if (exchange.path().starts_with("/control/")) {
-            const json answer = {{"loads", loads_}, {"most_in_flight", most_in_flight_}, {"delayed", delayed_}};
+            const json answer = {
+                {"loads", loads_}, {"most_in_flight", most_in_flight_}, {"delayed", delayed_}};
             co_await respond_json(exchange, 200, answer);
             co_return;
         }
         ++loads_;
         const auto now = std::chrono::steady_clock::now();
-        const auto interval = std::chrono::duration_cast<duration>(std::chrono::duration<double>(1.0 / rate_));
+        const auto interval =
+            std::chrono::duration_cast<duration>(std::chrono::duration<double>(1.0 / rate_));
         // A burst of one second's loads passes; beyond it a load waits for its turn.
         const auto earliest = now - std::chrono::seconds{1};
         next_turn_ = std::max(next_turn_, earliest) + interval;
