--- a/modules/base/include/lovageledge/base/runtime_clock.hpp
+++ b/modules/base/include/lovageledge/base/runtime_clock.hpp
@@ -19,6 +19,7 @@
     runtime_clock() = default;
     runtime_clock(const runtime_clock&) = delete;
     runtime_clock& operator=(const runtime_clock&) = delete;
+    ~runtime_clock() = default;
 
     /** @returns the current time of this clock; it never goes backwards */
     time_point now() const;
--- a/modules/base/include/lovageledge/base/strong_id.hpp
+++ b/modules/base/include/lovageledge/base/strong_id.hpp
@@ -28,7 +28,7 @@
     /** @returns true if no identifier was given */
     bool is_empty() const noexcept { return text_.empty(); }
 
-    auto operator<=>(const strong_id&) const = default;
+    auto operator<=>(const strong_id&) const = default; // NOLINT(modernize-use-nullptr)
 
     friend std::ostream& operator<<(std::ostream& out, const strong_id& id) { return out << id.text_; }
 
--- a/modules/coordination/configuration_keeper.cpp
+++ b/modules/coordination/configuration_keeper.cpp
@@ -96,8 +96,8 @@
     head_version_ = answer.version;
 }
 
-void configuration_keeper::read_part(const protocol::RevisionRecord& head, std::vector<std::string> parts,
-                                     command_list& out) {
+void configuration_keeper::read_part(const protocol::RevisionRecord& head,
+                                     const std::vector<std::string>& parts, command_list& out) {
     if (parts.size() == head.parts()) {
         offer(head.revision(), head.digest(), parts, "platform");
         return;
@@ -113,7 +113,7 @@
             }
             auto more = parts;
             more.push_back(answer.data);
-            read_part(head, std::move(more), commands);
+            read_part(head, more, commands);
         },
         out);
 }
--- a/modules/coordination/include/lovageledge/coordination/command.hpp
+++ b/modules/coordination/include/lovageledge/coordination/command.hpp
@@ -15,7 +15,7 @@
     request_id request;
     std::uint32_t attempt = 0;
 
-    auto operator<=>(const attempt_id&) const = default;
+    auto operator<=>(const attempt_id&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /** What became of a request, with the step and the peer at which it ended. */
--- a/modules/coordination/include/lovageledge/coordination/configuration_keeper.hpp
+++ b/modules/coordination/include/lovageledge/coordination/configuration_keeper.hpp
@@ -50,7 +50,8 @@
 
     void watch(command_list& out);
     void on_head(const platform_answer& answer, time_point now, command_list& out);
-    void read_part(const protocol::RevisionRecord& head, std::vector<std::string> parts, command_list& out);
+    void read_part(const protocol::RevisionRecord& head, const std::vector<std::string>& parts,
+                   command_list& out);
     void fetch_from_peer(time_point now, command_list& out);
 
     const instance_identity& self_;
--- a/modules/coordination/include/lovageledge/coordination/load_budget.hpp
+++ b/modules/coordination/include/lovageledge/coordination/load_budget.hpp
@@ -15,7 +15,7 @@
     server_name server;
     adapter_key key;
 
-    auto operator<=>(const load_ticket&) const = default;
+    auto operator<=>(const load_ticket&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /**
--- a/modules/coordination/include/lovageledge/coordination/server_owner.hpp
+++ b/modules/coordination/include/lovageledge/coordination/server_owner.hpp
@@ -161,7 +161,7 @@
     void schedule(const configuration& config, time_point now, command_list& out);
     void admit_waiting(time_point now, command_list& out);
     bool may_admit(const waiting_request& request) const;
-    void admit(std::deque<waiting_request>::iterator request, time_point now, command_list& out);
+    void admit(const std::deque<waiting_request>::iterator& request, time_point now, command_list& out);
     void want_loads(time_point now);
     void order_next_load(const configuration& config, time_point now, command_list& out);
     void refresh_intents(time_point now);
--- a/modules/coordination/node.cpp
+++ b/modules/coordination/node.cpp
@@ -542,8 +542,8 @@
     for (const auto& [name, server_start] : leaving) {
         log_(event::server_leaving,
              fmt::format("server={} start={} source={}", name.text(), server_start.text(), from.text()));
-        with_owner(name, now, out, [&](server_owner& owner, const configuration&) {
-            owner.set_leaving(server_start, now, out);
+        with_owner(name, now, out, [&, left = server_start](server_owner& owner, const configuration&) {
+            owner.set_leaving(left, now, out);
         });
     }
     if (heartbeat.fingerprints_size() > 0) {
@@ -634,8 +634,9 @@
     for (const auto& [server, start] : fresh) {
         log_(event::server_leaving,
              fmt::format("server={} start={} source=list", server.text(), start.text()));
-        with_owner(server, now, out,
-                   [&](server_owner& owner, const configuration&) { owner.set_leaving(start, now, out); });
+        with_owner(server, now, out, [&, left = start](server_owner& owner, const configuration&) {
+            owner.set_leaving(left, now, out);
+        });
     }
 }
 
--- a/modules/coordination/server_owner.cpp
+++ b/modules/coordination/server_owner.cpp
@@ -540,7 +540,8 @@
     }
 }
 
-void server_owner::admit(std::deque<waiting_request>::iterator request, time_point now, command_list& out) {
+void server_owner::admit(const std::deque<waiting_request>::iterator& request, time_point now,
+                         command_list& out) {
     slots_.acquire(request->key, now);
     running_request running;
     running.from = request->from;
--- a/modules/service/daemon_settings.cpp
+++ b/modules/service/daemon_settings.cpp
@@ -82,7 +82,7 @@
             return;
         }
         for (const auto& [name, value] : *section) {
-            known_.insert("peers." + name);
+            known_.insert(std::string{"peers."}.append(name));
             address("peers", name, target[instance_name{name}], true);
         }
     }
@@ -90,7 +90,7 @@
     void reject_unknown() {
         for (const auto& [section, fields] : tree_) {
             for (const auto& [key, value] : fields) {
-                if (!known_.contains(section + "." + key)) {
+                if (!known_.contains(std::string{section}.append(".").append(key))) {
                     fail(section, key, "a field that docs/OPERATIONS.md lists");
                 }
             }
@@ -163,12 +163,12 @@
 
 void read_limits(settings_reader& reader, daemon_settings& settings) {
     reader.number("limits", "body_bytes", settings.limits.body_bytes, 1024, 64ULL * 1024 * 1024);
-    reader.number("limits", "header_bytes", settings.limits.header_bytes, 1024, 1024 * 1024);
+    reader.number("limits", "header_bytes", settings.limits.header_bytes, 1024, 1024ULL * 1024);
     reader.number("limits", "connections", settings.limits.connections, 1, 65536);
     reader.time_ms("limits", "request_timeout_ms", settings.limits.request_timeout);
     reader.time_ms("limits", "idle_timeout_ms", settings.limits.idle_timeout);
     reader.time_ms("limits", "write_timeout_ms", settings.limits.write_timeout);
-    reader.number("limits", "max_tokens", settings.max_tokens_limit, 1, 1024 * 1024);
+    reader.number("limits", "max_tokens", settings.max_tokens_limit, 1, 1024ULL * 1024);
     reader.time_ms("limits", "default_deadline_ms", settings.default_deadline);
     reader.time_ms("limits", "stream_silence_ms", settings.stream_silence);
 }
--- a/modules/service/engine_link.cpp
+++ b/modules/service/engine_link.cpp
@@ -128,17 +128,17 @@
     });
 }
 
-void engine_link::cancel(attempt_id id) {
+void engine_link::cancel(const attempt_id& id) {
     asio::co_spawn(
         strand_, [self = shared_from_this(), id] { return self->run_cancel(id); }, asio::detached);
 }
 
-void engine_link::confirm(confirm_ended command) {
+void engine_link::confirm(const confirm_ended& command) {
     asio::co_spawn(
         strand_, [self = shared_from_this(), command] { return self->run_confirm(command); }, asio::detached);
 }
 
-void engine_link::extend(attempt_id id, std::uint32_t tokens) {
+void engine_link::extend(const attempt_id& id, std::uint32_t tokens) {
     asio::post(strand_, [self = shared_from_this(), id, tokens] {
         const auto state = self->dispatches_.find(id);
         if (state != self->dispatches_.end()) {
--- a/modules/service/include/lovageledge/service/admin_api.hpp
+++ b/modules/service/include/lovageledge/service/admin_api.hpp
@@ -22,6 +22,7 @@
     explicit admin_api(instance& owner) : instance_{owner} {}
     admin_api(const admin_api&) = delete;
     admin_api& operator=(const admin_api&) = delete;
+    ~admin_api() = default;
 
     /** Answers one request; without the operators' token it is refused. */
     asio::awaitable<void> handle(http_exchange& exchange);
--- a/modules/service/include/lovageledge/service/caller_api.hpp
+++ b/modules/service/include/lovageledge/service/caller_api.hpp
@@ -21,6 +21,7 @@
     explicit caller_api(instance& owner) : instance_{owner} {}
     caller_api(const caller_api&) = delete;
     caller_api& operator=(const caller_api&) = delete;
+    ~caller_api() = default;
 
     /** Answers one request. */
     asio::awaitable<void> handle(http_exchange& exchange);
--- a/modules/service/include/lovageledge/service/caller_stream.hpp
+++ b/modules/service/include/lovageledge/service/caller_stream.hpp
@@ -26,6 +26,7 @@
     explicit caller_stream(const asio::any_io_executor& executor) : signal_{executor} {}
     caller_stream(const caller_stream&) = delete;
     caller_stream& operator=(const caller_stream&) = delete;
+    ~caller_stream() = default;
 
     /** Adds tokens. Thread-safe. */
     void push(std::vector<std::string> tokens);
--- a/modules/service/include/lovageledge/service/decision_log.hpp
+++ b/modules/service/include/lovageledge/service/decision_log.hpp
@@ -19,6 +19,7 @@
     decision_log() = default;
     decision_log(const decision_log&) = delete;
     decision_log& operator=(const decision_log&) = delete;
+    ~decision_log() = default;
 
     /** Logs one event. @param text fields in the form key=value */
     void write(event number, std::string_view text);
--- a/modules/service/include/lovageledge/service/engine_link.hpp
+++ b/modules/service/include/lovageledge/service/engine_link.hpp
@@ -38,14 +38,15 @@
                 duration stream_silence, listeners actions);
     engine_link(const engine_link&) = delete;
     engine_link& operator=(const engine_link&) = delete;
+    ~engine_link() = default;
 
     void probe(probe_server command);
     void load(order_load command);
     void unload(order_unload command);
     void dispatch(dispatch_request command);
-    void cancel(attempt_id id);
-    void confirm(confirm_ended command);
-    void extend(attempt_id id, std::uint32_t tokens);
+    void cancel(const attempt_id& id);
+    void confirm(const confirm_ended& command);
+    void extend(const attempt_id& id, std::uint32_t tokens);
 
 private:
     struct dispatch_state {
--- a/modules/service/include/lovageledge/service/metrics.hpp
+++ b/modules/service/include/lovageledge/service/metrics.hpp
@@ -18,6 +18,7 @@
     metrics() = default;
     metrics(const metrics&) = delete;
     metrics& operator=(const metrics&) = delete;
+    ~metrics() = default;
 
     /** Adds to a counter. @param name with labels, as in requests_total{outcome="done"} */
     void count(const std::string& name, std::uint64_t amount = 1);
--- a/modules/service/include/lovageledge/service/platform_link.hpp
+++ b/modules/service/include/lovageledge/service/platform_link.hpp
@@ -20,6 +20,7 @@
     platform_link(asio::io_context& context, std::string address, listener on_answer);
     platform_link(const platform_link&) = delete;
     platform_link& operator=(const platform_link&) = delete;
+    ~platform_link() = default;
 
     /** Starts a call. */
     void start(call_platform command);
--- a/modules/service/instance.cpp
+++ b/modules/service/instance.cpp
@@ -158,7 +158,8 @@
 }
 
 void instance::carry_out(confirm_ended& item) {
-    link_to(item.server)->confirm(std::move(item));
+    const auto link = link_to(item.server);
+    link->confirm(std::move(item));
 }
 
 void instance::carry_out(extend_credit& item) {
@@ -170,15 +171,18 @@
 }
 
 void instance::carry_out(order_load& item) {
-    link_to(item.server)->load(std::move(item));
+    const auto link = link_to(item.server);
+    link->load(std::move(item));
 }
 
 void instance::carry_out(order_unload& item) {
-    link_to(item.server)->unload(std::move(item));
+    const auto link = link_to(item.server);
+    link->unload(std::move(item));
 }
 
 void instance::carry_out(probe_server& item) {
-    link_to(item.server)->probe(std::move(item));
+    const auto link = link_to(item.server);
+    link->probe(std::move(item));
 }
 
 void instance::carry_out(connect_peer& item) {
--- a/modules/state/include/lovageledge/state/sheet_parts.hpp
+++ b/modules/state/include/lovageledge/state/sheet_parts.hpp
@@ -10,7 +10,7 @@
 namespace lovageledge {
 
 /** Bytes of a sheet that one object of the platform holds; the platform's limit is a megabyte. */
-inline constexpr std::size_t sheet_part_bytes = 512 * 1024;
+inline constexpr std::size_t sheet_part_bytes = std::size_t{512} * 1024;
 
 /** @returns a digest-checked configuration from the parts of a sheet, or nothing with the reason.
     Thread-safe. */
--- a/modules/transport/http_connection.cpp
+++ b/modules/transport/http_connection.cpp
@@ -6,8 +6,8 @@
 namespace lovageledge {
 namespace {
 
-constexpr std::size_t answer_limit_bytes = 64 * 1024 * 1024;
-constexpr std::size_t read_block_bytes = 16 * 1024;
+constexpr std::size_t answer_limit_bytes = std::size_t{64} * 1024 * 1024;
+constexpr std::size_t read_block_bytes = std::size_t{16} * 1024;
 
 } // namespace
 
--- a/modules/transport/include/lovageledge/transport/http_server.hpp
+++ b/modules/transport/include/lovageledge/transport/http_server.hpp
@@ -16,7 +16,7 @@
 /** Bounds on what a server takes from its callers. */
 struct http_limits {
     std::uint32_t header_bytes = 16 * 1024;
-    std::uint64_t body_bytes = 1024 * 1024;
+    std::uint64_t body_bytes = std::uint64_t{1024} * 1024;
     std::uint32_t connections = 4096;
     /** Time that a caller has to send a whole request. */
     duration request_timeout = std::chrono::seconds{10};
@@ -34,6 +34,7 @@
         : stream_{stream}, request_{std::move(request)}, limits_{limits} {}
     http_exchange(const http_exchange&) = delete;
     http_exchange& operator=(const http_exchange&) = delete;
+    ~http_exchange() = default;
 
     http::verb method() const { return request_.method(); }
     /** @returns the path without the query */
@@ -87,6 +88,7 @@
     http_server(asio::io_context& context, http_limits limits, handler on_request);
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
+    ~http_server() = default;
 
     /** Listens. @param address "IP:PORT" @returns false with the reason if it can't */
     bool listen(const std::string& address, error& why);
--- a/programs/load/main.cpp
+++ b/programs/load/main.cpp
@@ -312,7 +312,7 @@
         std::getline(cells, name, ',');
         std::getline(cells, version, ',');
         if (kind == "adapter" && (limit == 0 || models.size() < limit)) {
-            models.push_back(name + "@" + version);
+            models.push_back(std::move(name.append("@").append(version)));
         }
     }
     return models;
--- a/programs/standins/platform_main.cpp
+++ b/programs/standins/platform_main.cpp
@@ -11,7 +11,7 @@
 
 constexpr auto default_watch_time = std::chrono::seconds{10};
 constexpr auto watch_poll = std::chrono::milliseconds{5};
-constexpr std::size_t object_limit_bytes = 1024 * 1024;
+constexpr std::size_t object_limit_bytes = std::size_t{1024} * 1024;
 
 struct stored_object {
     std::uint64_t version = 0;
