--- a/modules/coordination/include/lovageledge/coordination/node.hpp
+++ b/modules/coordination/include/lovageledge/coordination/node.hpp
@@ -173,6 +173,8 @@
     load_budget budget_;
     std::map<instance_name, std::string> addresses_;
     std::set<server_name> listed_leaving_;
+    /** Engine starts at the time when the list began to name their servers as leaving. */
+    std::map<server_name, start_id> listed_starts_;
     time_point next_list_{};
     bool is_listing_ = false;
     time_point next_heartbeat_{};
--- a/modules/coordination/include/lovageledge/coordination/router.hpp
+++ b/modules/coordination/include/lovageledge/coordination/router.hpp
@@ -54,11 +54,13 @@
     void on_owner_lost(const instance_name& owner);
     /** An owner no longer owns a server. */
     void on_not_owner(const server_name& server, const instance_name& owner);
-    /** Nothing new goes to this server while the engine's start is the given one. An empty start stands for
-        whichever is reported. */
+    /** Nothing new goes to this server ever again in the given start of its engine. */
     void set_leaving(const server_name& server, const start_id& start);
     /** Forgets that a server leaves; only a test without the sticky safeguard calls it. */
     void clear_leaving(const server_name& server) { leaving_.erase(server); }
+    /** Nothing new goes to these servers for as long as the list names them. A lagging list may mean an
+        earlier start of the engine, so this leaves no trace once the list has caught up. */
+    void set_listed_leaving(std::set<server_name> servers) { listed_leaving_ = std::move(servers); }
     /** @returns true if the server, in its reported start, leaves */
     bool is_leaving(const server_name& server) const;
     /** @returns the starts of leaving servers, for peers */
@@ -99,6 +101,7 @@
     std::unordered_map<adapter_key, std::set<server_name>> holders_;
     std::unordered_map<adapter_key, candidate_list> preferred_;
     std::map<server_name, start_id> leaving_;
+    std::set<server_name> listed_leaving_;
 };
 
 } // namespace lovageledge
--- a/modules/coordination/node.cpp
+++ b/modules/coordination/node.cpp
@@ -615,25 +615,23 @@
     std::vector<std::pair<server_name, start_id>> fresh;
     {
         const std::scoped_lock lock{router_mutex_};
+        router_.set_listed_leaving(listed);
+        std::erase_if(listed_starts_, [&](const auto& entry) { return !listed.contains(entry.first); });
         for (const server_name& server : listed) {
             const auto* view = router_.find(server);
-            if (view != nullptr && !view->load.start.is_empty() && !router_.is_leaving(server)) {
-                router_.set_leaving(server, view->load.start);
-                fresh.emplace_back(server, view->load.start);
+            if (view == nullptr || view->load.start.is_empty()) {
+                continue;
             }
-        }
-        if (!settings_.safeguard.sticky_leaving) {
-            const auto known = router_.leaving();
-            for (const auto& [server, start] : known) {
-                if (!listed.contains(server)) {
-                    router_.clear_leaving(server);
-                }
+            // Only the start that was there when the listing began leaves for good.
+            const auto [start, is_new] = listed_starts_.try_emplace(server, view->load.start);
+            if (is_new && settings_.safeguard.sticky_leaving) {
+                router_.set_leaving(server, start->second);
+                fresh.emplace_back(server, start->second);
             }
         }
     }
     for (const auto& [server, start] : fresh) {
-        log_(event::server_leaving,
-             fmt::format("server={} start={} source=list", server.text(), start.text()));
+        log_(event::server_leaving, fmt::format("server={} start={} source=list", server.text(), start.text()));
         with_owner(server, now, out, [&, left = start](server_owner& owner, const configuration&) {
             owner.set_leaving(left, now, out);
         });
--- a/modules/coordination/request_table.cpp
+++ b/modules/coordination/request_table.cpp
@@ -284,9 +284,7 @@
         return;
     }
     request.next_offset += static_cast<std::uint32_t>(progress.tokens_size());
-    if (request.step == phase::cancelling) {
-        return;
-    }
+    // Also while a cancel is on its way: the answer may still come whole.
     out.emplace_back(deliver_tokens{item->first, {progress.tokens().begin(), progress.tokens().end()}});
 }
 
--- a/modules/coordination/router.cpp
+++ b/modules/coordination/router.cpp
@@ -103,12 +103,12 @@
 }
 
 bool router::is_leaving(const server_name& server) const {
-    const auto entry = leaving_.find(server);
-    if (entry == leaving_.end()) {
-        return false;
+    if (listed_leaving_.contains(server)) {
+        return true;
     }
+    const auto entry = leaving_.find(server);
     const server_view* view = find(server);
-    return entry->second.is_empty() || view == nullptr || view->load.start == entry->second;
+    return entry != leaving_.end() && (view == nullptr || view->load.start == entry->second);
 }
 
 const router::server_view* router::find(const server_name& server) const {
