Ownership: take servers whose owner has fallen silent about them; a stop waits for callers

Now an announcement counts for 1 s, and the record decides. Cause (planned stop cuts nothing): the stop ended when decisions were over, before the callers had their answers.

--- a/modules/coordination/include/lovageledge/coordination/ownership_keeper.hpp
+++ b/modules/coordination/include/lovageledge/coordination/ownership_keeper.hpp
@@ -59,7 +59,7 @@
     void confirm(const server_name& server, const start_id& server_start, std::uint64_t ticket,
                  time_point now, command_list& out);
     /** A peer announces an epoch of a server. */
-    void on_announced(const server_name& server, const instance_name& owner, std::uint64_t epoch);
+    void on_announced(const server_name& server, const instance_name& owner, std::uint64_t epoch, time_point now);
     /** A former holder has ended all its work on a server; it is answered. */
     void on_drained(const instance_name& from, const start_id& start, const protocol::Drained& drained,
                     time_point now, command_list& out);
@@ -108,7 +108,7 @@
         /** Owner and epoch that were announced last. */
         instance_name announced_owner;
         std::uint64_t announced_epoch = 0;
-        time_point unannounced_since{};
+        time_point announced_at{};
     };
 
     void read(const server_name& server, entry& item, command_list& out);
@@ -117,6 +117,7 @@
     void on_write(const server_name& server, const platform_answer& answer, time_point now,
                   command_list& out);
     void on_written(const server_name& server, entry& item, time_point now, command_list& out);
+    void announce_successor(const server_name& server, entry& item, command_list& out);
     void adopt(const server_name& server, entry& item, time_point now);
     void lose(const server_name& server, entry& item, time_point now);
     void consider_taking(const server_name& server, entry& item, time_point now, command_list& out);
--- a/modules/coordination/ownership_keeper.cpp
+++ b/modules/coordination/ownership_keeper.cpp
@@ -14,7 +14,7 @@
 /** A server is handed over for balance only after it was owned this long. */
 constexpr auto rebalance_hold = seconds{3};
 /** A server that nobody announces for this long may be taken. */
-constexpr auto unannounced_limit = milliseconds{600};
+constexpr auto unannounced_limit = milliseconds{1000};
 constexpr auto first_take_backoff = seconds{1};
 constexpr auto last_take_backoff = seconds{30};
 constexpr auto drained_repeat = seconds{1};
@@ -71,14 +71,6 @@
         last_rebalance_ = now;
     }
     for (auto& [name, item] : entries_) {
-        const bool is_announced = !item.announced_owner.is_empty() &&
-                                  members_.is_live(item.announced_owner) &&
-                                  item.announced_owner != self_.name;
-        if (is_announced) {
-            item.unannounced_since = time_point{};
-        } else if (item.unannounced_since == time_point{}) {
-            item.unannounced_since = now;
-        }
         if (item.step == phase::none && is_settled && is_rebalance_due) {
             consider_taking(name, item, now, out);
         }
@@ -95,9 +87,9 @@
     if (!is_possible || desired_owner(declared->second) != self_.name) {
         return;
     }
-    const bool is_announced =
-        item.unannounced_since == time_point{} || now - item.unannounced_since < unannounced_limit;
-    const bool is_blocked = !item.announced_owner.is_empty() && item.announced_owner != self_.name &&
+    const bool is_announced = now - item.announced_at < unannounced_limit;
+    // An owner that only we do not hear may announce itself to the others.
+    const bool is_blocked = !item.announced_owner.is_empty() && !members_.is_live(item.announced_owner) &&
                             !members_.is_suspected_by_majority(item.announced_owner);
     if (is_announced || is_blocked) {
         return;
@@ -220,15 +212,7 @@
         return;
     }
     if (item.step == phase::handing_over) {
-        const instance_name successor{item.record.owner().instance()};
-        protocol::Envelope message;
-        message.mutable_handover()->set_server(server.text());
-        message.mutable_handover()->set_epoch(item.record.owner().epoch());
-        out.emplace_back(send_peer{successor, std::move(message)});
-        log_(event::ownership_handed_over, fmt::format("server={} to={} epoch={}", server.text(),
-                                                       successor.text(), item.record.owner().epoch()));
-        item.announced_owner = successor;
-        item.announced_epoch = item.record.owner().epoch();
+        announce_successor(server, item, out);
         item.take_backoff = duration{}; // Given away, not lost to a competitor.
         lose(server, item, now);
         return;
@@ -258,6 +242,22 @@
     events_.push_back(std::move(recorded));
 }
 
+void ownership_keeper::announce_successor(const server_name& server, entry& item, command_list& out) {
+    const instance_name successor{item.record.owner().instance()};
+    const std::uint64_t epoch = item.record.owner().epoch();
+    log_(event::ownership_handed_over,
+         fmt::format("server={} to={} epoch={}", server.text(), successor.text(), epoch));
+    if (successor.is_empty()) {
+        return; // Whoever comes first takes it.
+    }
+    protocol::Envelope message;
+    message.mutable_handover()->set_server(server.text());
+    message.mutable_handover()->set_epoch(epoch);
+    out.emplace_back(send_peer{successor, std::move(message)});
+    item.announced_owner = successor;
+    item.announced_epoch = epoch;
+}
+
 void ownership_keeper::adopt(const server_name& server, entry& item, time_point now) {
     item.step = phase::owning;
     item.pending.reset();
@@ -458,12 +458,13 @@
     maintain(server, item->second, now, out);
 }
 
-void ownership_keeper::on_announced(const server_name& server, const instance_name& owner,
-                                    std::uint64_t epoch) {
+void ownership_keeper::on_announced(const server_name& server, const instance_name& owner, std::uint64_t epoch,
+                                    time_point now) {
     entry& item = entries_[server];
     if (epoch >= item.announced_epoch) {
         item.announced_epoch = epoch;
         item.announced_owner = owner;
+        item.announced_at = now;
     }
 }
 
--- a/modules/service/caller_stream.cpp
+++ b/modules/service/caller_stream.cpp
@@ -55,4 +55,9 @@
     streams_.erase(id);
 }
 
+std::size_t caller_registry::size() const {
+    const std::scoped_lock lock{mutex_};
+    return streams_.size();
+}
+
 } // namespace lovageledge
--- a/modules/service/include/lovageledge/service/caller_stream.hpp
+++ b/modules/service/include/lovageledge/service/caller_stream.hpp
@@ -49,6 +49,8 @@
     std::shared_ptr<caller_stream> add(const request_id& id, const asio::any_io_executor& executor);
     std::shared_ptr<caller_stream> find(const request_id& id) const;
     void remove(const request_id& id);
+    /** @returns requests whose callers have not got their whole answer */
+    std::size_t size() const;
 
 private:
     mutable std::mutex mutex_;
--- a/modules/service/instance.cpp
+++ b/modules/service/instance.cpp
@@ -74,7 +74,7 @@
     timer.expires_after(settings_.balancer_lag);
     co_await timer.async_wait(asio::use_awaitable);
     caller_server_.stop_accepting();
-    while (!node_.is_drained() && now() - began < settings_.drain_limit) {
+    while ((!node_.is_drained() || callers_.size() > 0) && now() - began < settings_.drain_limit) {
         timer.expires_after(tick_interval);
         co_await timer.async_wait(asio::use_awaitable);
     }
--- a/tests/bench/world.cpp
+++ b/tests/bench/world.cpp
@@ -18,6 +18,8 @@
 /** Longest time that a message of a closed connection is under way; below the settings' uncertain_hold. */
 constexpr int late_order_us = 3'000'000;
 constexpr auto leaving_limit = seconds{3};
+/** Longer than any request lives. */
+constexpr auto drain_limit = seconds{10};
 
 const std::string caller_token_digest = sha256_hex("token");
 
@@ -274,7 +276,7 @@
     return {};
 }
 
-std::string world::instance_list() const {
+std::string world::instance_list() {
     auto list = nlohmann::json::array();
     for (std::size_t i = 0; i < members_.size(); ++i) {
         list.push_back({{"name", "instance-" + std::to_string(i)},
@@ -282,8 +284,11 @@
                         {"kind", "entry"},
                         {"state", "live"}});
     }
-    for (const engine& item : engines_) {
+    for (engine& item : engines_) {
         const bool is_leaving = item.is_listed_leaving && !has_stale_list_;
+        if (is_leaving && !item.leaves_since) {
+            item.leaves_since = clock_.now(); // From now on an instance can know.
+        }
         list.push_back({{"name", item.name.text()},
                         {"address", "engine"},
                         {"kind", "backend"},
@@ -637,7 +642,9 @@
     if (!item.is_stopping || !item.decisions) {
         return;
     }
-    if (item.decisions->is_drained()) {
+    const bool is_late = clock_.now() - item.stopping_since > drain_limit;
+    const bool has_ended = item.decisions->is_drained() && item.entered.empty();
+    if (has_ended || is_late) {
         for (const std::string& id : item.entered) {
             history_.on_cut_by_stop(id, item.identity.name.text());
         }
@@ -749,6 +756,7 @@
             break;
         }
         item.is_stopping = true;
+        item.stopping_since = clock_.now();
         at_instance(index, life, [this, index, life] {
             execute(index, members_[index].decisions->begin_drain(clock_.now()));
             events_.after(milliseconds{500}, [this, index, life] {
--- a/tests/bench/world.hpp
+++ b/tests/bench/world.hpp
@@ -142,6 +142,7 @@
         std::uint64_t life = 0;
         bool is_paused = false;
         bool is_stopping = false;
+        time_point stopping_since{};
         std::deque<std::function<void()>> held;
         bool cuts_incoming = false;
         bool cuts_outgoing = false;
@@ -193,7 +194,7 @@
     void carry_out(std::size_t index, const finish_publication& item);
 
     platform_answer apply_call(const call_platform& item);
-    std::string instance_list() const;
+    std::string instance_list();
     engine& engine_of(const server_name& name);
     void begin_run(std::size_t index, std::uint64_t life, const dispatch_request& item, engine& target);
     void produce(engine& target, const start_id& start, const attempt_id& id);
