--- a/modules/coordination/include/lovageledge/coordination/command.hpp
+++ b/modules/coordination/include/lovageledge/coordination/command.hpp
@@ -71,8 +71,14 @@
     start_id start;
     attempt_id id;
     protocol::RequestSpec spec;
+    /** When it was decided. A process that was paused since then does not carry it out, but reports the
+        request as not run. @see dispatch_age_limit */
+    time_point decided;
 };
 
+/** Age at which a decision to dispatch is void. */
+inline constexpr auto dispatch_age_limit = std::chrono::milliseconds{1000};
+
 /** Stop a dispatched request; its end is reported as for any other. */
 struct cancel_dispatch {
     attempt_id id;
--- a/modules/coordination/include/lovageledge/coordination/request_table.hpp
+++ b/modules/coordination/include/lovageledge/coordination/request_table.hpp
@@ -120,6 +120,7 @@
     void retry_or_finish(entry_map::iterator item, const request_result& result, time_point now,
                          command_list& out);
     void cancel(entry_map::iterator item, const error& why, time_point now, command_list& out);
+    void send_cancel(const entry& item, const request_id& id, command_list& out) const;
     void finish(entry_map::iterator item, request_result result, time_point now, command_list& out);
     entry_map::iterator find_attempt(const instance_name& from, const std::string& request,
                                      std::uint32_t attempt);
--- a/modules/coordination/include/lovageledge/coordination/server_owner.hpp
+++ b/modules/coordination/include/lovageledge/coordination/server_owner.hpp
@@ -171,6 +171,7 @@
     void update_poisoned(time_point now);
     void adopt_unconfirmed(time_point now);
     void touch_generation();
+    bool is_held_after_pause(time_point now) const;
     bool has_lone_run() const;
     std::uint32_t long_running() const;
     std::set<adapter_key> waiting_adapters() const;
@@ -211,6 +212,9 @@
     owner_wishes wishes_;
     std::optional<std::set<adapter_key>> asked_intents_;
     time_point last_probe_{};
+    time_point last_tick_{};
+    /** After a pause nothing is admitted until peers had time to tell what changed meanwhile. */
+    time_point hold_until_{};
     duration token_time_ = std::chrono::milliseconds{10};
     duration first_token_time_ = std::chrono::milliseconds{20};
 };
--- a/modules/coordination/request_table.cpp
+++ b/modules/coordination/request_table.cpp
@@ -350,10 +350,23 @@
          fmt::format("request={} attempt={} server={} cause=\"{}\"", item->first.text(), request.attempt,
                      request.server.text(), result.why.text()));
     const bool is_unknown = result.outcome == protocol::UNKNOWN;
+    if (is_unknown && request.step == phase::forwarded) {
+        send_cancel(request, item->first, out);
+    }
+    request.owner = instance_name{}; // What still comes of this attempt belongs to no answer.
     wait_for_route(request, result.why, is_unknown ? duration{crash_pause} : duration{retry_pause}, now);
     request.has_unknown_attempt = request.has_unknown_attempt || is_unknown;
 }
 
+void request_table::send_cancel(const entry& item, const request_id& id, command_list& out) const {
+    protocol::Envelope message;
+    auto* order = message.mutable_cancel();
+    order->set_request(id.text());
+    order->set_attempt(item.attempt);
+    order->set_server(item.server.text());
+    out.emplace_back(send_peer{item.owner, std::move(message)});
+}
+
 void request_table::cancel(entry_map::iterator item, const error& why, time_point now, command_list& out) {
     entry& request = item->second;
     if (request.step == phase::cancelling) {
@@ -369,12 +382,7 @@
     log_(event::request_cancelled,
          fmt::format("request={} attempt={} server={} cause=\"{}\"", item->first.text(), request.attempt,
                      request.server.text(), why.text()));
-    protocol::Envelope message;
-    auto* order = message.mutable_cancel();
-    order->set_request(item->first.text());
-    order->set_attempt(request.attempt);
-    order->set_server(request.server.text());
-    out.emplace_back(send_peer{request.owner, std::move(message)});
+    send_cancel(request, item->first, out);
 }
 
 void request_table::on_caller_left(const request_id& id, time_point now, command_list& out) {
--- a/modules/coordination/server_owner.cpp
+++ b/modules/coordination/server_owner.cpp
@@ -15,6 +15,8 @@
 constexpr auto budget_repeat_interval = milliseconds{500};
 /** A status is asked for this often; it finds restarts and connections that have gone silent. */
 constexpr auto probe_interval = milliseconds{1000};
+/** Without a tick for this long, the process was paused. */
+constexpr auto pause_limit = milliseconds{1000};
 constexpr auto unreachable_probe_interval = milliseconds{200};
 /** A granted load that finds no slot for this long gives its grant back. */
 constexpr auto grant_hold = milliseconds{1000};
@@ -43,6 +45,7 @@
     is_admitting_ = true;
     may_evict_ = true;
     is_reachable_ = false;
+    last_tick_ = now;
     start_ = start_id{};
     slots_.reset({}, false, now);
     slots_.set_recorded_intents({});
@@ -456,6 +459,10 @@
 }
 
 void server_owner::on_tick(const configuration& config, time_point now, command_list& out) {
+    if (now - last_tick_ >= pause_limit) {
+        hold_until_ = now + 2 * settings_.heartbeat_interval;
+    }
+    last_tick_ = now;
     for (auto request = waiting_.begin(); request != waiting_.end();) {
         if (request->deadline > now) {
             ++request;
@@ -498,6 +505,10 @@
     }));
 }
 
+bool server_owner::is_held_after_pause(time_point now) const {
+    return now - last_tick_ >= pause_limit || now < hold_until_;
+}
+
 bool server_owner::has_lone_run() const {
     return std::any_of(running_.begin(), running_.end(),
                        [](const auto& entry) { return entry.second.is_alone; });
@@ -517,7 +528,7 @@
 }
 
 void server_owner::admit_waiting(time_point now, command_list& out) {
-    if (!is_reachable_ || waiting_.empty()) {
+    if (!is_reachable_ || waiting_.empty() || is_held_after_pause(now)) {
         return;
     }
     const bool makes_room = std::any_of(waiting_.begin(), waiting_.end(), [&](const auto& request) {
@@ -553,7 +564,7 @@
     running.is_alone = suspects_.contains(running.fingerprint);
     running_.emplace(request->id, std::move(running));
     out.emplace_back(
-        dispatch_request{server_.name, server_.address, start_, request->id, std::move(request->spec)});
+        dispatch_request{server_.name, server_.address, start_, request->id, std::move(request->spec), now});
     waiting_.erase(request);
 }
 
@@ -604,7 +615,7 @@
 }
 
 void server_owner::order_next_load(const configuration& config, time_point now, command_list& out) {
-    if (open_order_) {
+    if (open_order_ || is_held_after_pause(now)) {
         return;
     }
     for (auto& [key, load] : loads_) {
--- a/modules/service/engine_link.cpp
+++ b/modules/service/engine_link.cpp
@@ -271,7 +271,11 @@
     // A request that must not run twice gets a connection that was just verified.
     state->connection =
         co_await connect_to_start(command.address, command.start, command.spec.idempotent(), why);
-    if (!state->connection || state->is_cancelled) {
+    const bool is_late = std::chrono::steady_clock::now() - command.decided >= dispatch_age_limit;
+    if (is_late && state->connection) {
+        why = {"engine.dispatch", command.address, "too late after it was decided"};
+    }
+    if (!state->connection || state->is_cancelled || is_late) {
         result = {protocol::NOT_RUN, why, std::chrono::milliseconds{0}, false};
     } else {
         result = co_await stream_answer(command, state, tokens);
--- a/tests/bench/history.cpp
+++ b/tests/bench/history.cpp
@@ -70,12 +70,16 @@
 
 void history::check_request(const std::string& id, const request_facts& facts, int runs,
                             std::vector<violation>& found) const {
+    std::string run;
     for (std::size_t i = 0; i < facts.received.size(); ++i) {
+        const std::string& token = facts.received[i];
+        const std::size_t mark = token.find('~');
         const std::string expected = facts.adapter + "#" + std::to_string(i);
-        if (facts.received[i] != expected) {
-            const bool is_adapter = !facts.received[i].starts_with(facts.adapter + "#");
+        run = i == 0 ? token.substr(mark) : run;
+        if (token.substr(0, mark) != expected || token.substr(mark) != run) {
+            const bool is_adapter = !token.starts_with(facts.adapter + "#");
             found.push_back({is_adapter ? promise::right_adapter : promise::whole_answer,
-                             id + " got " + facts.received[i] + " for " + expected});
+                             id + " got " + token + " for " + expected + run});
             break;
         }
     }
--- a/tests/bench/world.cpp
+++ b/tests/bench/world.cpp
@@ -13,7 +13,8 @@
 constexpr auto tick_interval = milliseconds{50};
 constexpr auto load_length = seconds{12};
 constexpr auto quiet_length = seconds{24};
-constexpr auto fault_length = milliseconds{3500};
+constexpr int shortest_fault_us = 500'000;
+constexpr int longest_fault_us = 4'500'000;
 constexpr auto request_deadline = seconds{3};
 /** Longest time that a message of a closed connection is under way; below the settings' uncertain_hold. */
 constexpr int late_order_us = 3'000'000;
@@ -444,6 +445,13 @@
 
 void world::carry_out(std::size_t index, const dispatch_request& item) {
     const std::uint64_t life = members_[index].life;
+    if (clock_.now() - item.decided >= dispatch_age_limit) {
+        const request_result late{protocol::NOT_RUN, {"engine.dispatch", "", "too late"}, milliseconds{0}, false};
+        arrive(index, life, duration{0}, [this, item, late](node& decisions) {
+            return decisions.on_dispatch_ended(item.server, item.id, late, 0, clock_.now());
+        });
+        return;
+    }
     engine& target = engine_of(item.server);
     if (target.start == item.start) {
         target.on_the_wire[item.id] = adapter_key{item.spec.adapter()};
@@ -474,7 +482,7 @@
         history_.on_late_work(target.name.text(), request);
     }
     target.running[item.id] = {request, adapter_key{item.spec.adapter()}, index, life,
-                               0,       item.spec.max_tokens(),           false, false};
+                               0,       item.spec.max_tokens(),           false, false, next_run_++};
     events_.after(random_delay(5000, 40'000), [this, server = item.server, start = target.start,
                                                id = item.id] { produce(engine_of(server), start, id); });
 }
@@ -502,7 +510,8 @@
         return;
     }
     if (!item.is_silent) {
-        const std::string token = item.key.text() + "#" + std::to_string(item.produced);
+        const std::string token =
+            item.key.text() + "#" + std::to_string(item.produced) + "~" + std::to_string(item.run);
         arrive(
             item.instance, item.instance_life, milliseconds{1},
             [this, server = target.name, id, offset = item.produced, token](node& decisions) {
@@ -674,9 +683,8 @@
     member& item = members_[index];
     engine& target = server.is_empty() ? engines_[random_index(engines_.size())] : engine_of(server);
     const std::uint64_t life = item.life;
-    const auto later = [this](std::function<void()> action) {
-        events_.after(fault_length, std::move(action));
-    };
+    const duration length = random_delay(shortest_fault_us, longest_fault_us);
+    const auto later = [this, length](std::function<void()> action) { events_.after(length, std::move(action)); };
     switch (what) {
     case fault::kill:
         if (item.decisions) {
--- a/tests/bench/world.hpp
+++ b/tests/bench/world.hpp
@@ -122,6 +122,8 @@
         std::uint32_t wanted = 0;
         bool is_silent = false;
         bool is_cancelled = false;
+        /** Tells the tokens of one run from those of another. */
+        std::uint64_t run = 0;
     };
     struct engine {
         server_name name;
@@ -228,6 +230,7 @@
     std::uint64_t next_start_ = 0;
     std::uint64_t next_request_ = 0;
     std::uint64_t next_apply_ = 0;
+    std::uint64_t next_run_ = 0;
     std::uint64_t sheet_number_ = 0;
     std::map<std::pair<std::size_t, std::size_t>, time_point> last_arrival_;
     std::map<std::string, submission> open_;
