--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	cmake -S . -B $(BUILD) -G Ninja
 	cmake --build $(BUILD)
 test: build
-	ctest --test-dir $(BUILD) --output-on-failure
+	scripts/run_tests.sh $(BUILD)
 demo: deps build
 	python3 scripts/demo.py sabarmati
 	python3 scripts/demo.py association
--- a/modules/coordination/include/lovageledge/coordination/ownership_keeper.hpp
+++ b/modules/coordination/include/lovageledge/coordination/ownership_keeper.hpp
@@ -59,7 +59,8 @@
     void confirm(const server_name& server, const start_id& server_start, std::uint64_t ticket,
                  time_point now, command_list& out);
     /** A peer announces an epoch of a server. */
-    void on_announced(const server_name& server, const instance_name& owner, std::uint64_t epoch, time_point now);
+    void on_announced(const server_name& server, const instance_name& owner, std::uint64_t epoch,
+                      time_point now);
     /** A former holder has ended all its work on a server; it is answered. */
     void on_drained(const instance_name& from, const start_id& start, const protocol::Drained& drained,
                     time_point now, command_list& out);
--- a/modules/coordination/include/lovageledge/coordination/server_owner.hpp
+++ b/modules/coordination/include/lovageledge/coordination/server_owner.hpp
@@ -55,7 +55,8 @@
     void stop_admission(const std::string& reason, bool may_evict_no_more, time_point now, command_list& out);
     /** Takes admission up again after stop_admission(). */
     void resume_admission();
-    /** @returns true if admission has stopped, no request runs and no order is open; it stays so until begin() */
+    /** @returns true if admission has stopped, no request runs and no order is open; it stays so until
+     * begin() */
     bool is_drained() const {
         return !is_admitting_ && running_.empty() && lingering_.empty() && !has_open_order();
     }
--- a/modules/coordination/node.cpp
+++ b/modules/coordination/node.cpp
@@ -631,7 +631,8 @@
         }
     }
     for (const auto& [server, start] : fresh) {
-        log_(event::server_leaving, fmt::format("server={} start={} source=list", server.text(), start.text()));
+        log_(event::server_leaving,
+             fmt::format("server={} start={} source=list", server.text(), start.text()));
         with_owner(server, now, out, [&, left = start](server_owner& owner, const configuration&) {
             owner.set_leaving(left, now, out);
         });
--- a/modules/coordination/ownership_keeper.cpp
+++ b/modules/coordination/ownership_keeper.cpp
@@ -459,8 +459,8 @@
     maintain(server, item->second, now, out);
 }
 
-void ownership_keeper::on_announced(const server_name& server, const instance_name& owner, std::uint64_t epoch,
-                                    time_point now) {
+void ownership_keeper::on_announced(const server_name& server, const instance_name& owner,
+                                    std::uint64_t epoch, time_point now) {
     entry& item = entries_[server];
     if (epoch >= item.announced_epoch) {
         item.announced_epoch = epoch;
--- a/tests/bench/explore_main.cpp
+++ b/tests/bench/explore_main.cpp
@@ -17,6 +17,7 @@
     std::string fault_filter;
     std::string step_filter;
     bool has_trace = false;
+    bool expects_red = false;
 };
 
 void disable(coordination_settings::safeguards& safeguard, const std::string& name) {
@@ -97,9 +98,12 @@
     app.add_option("--disable", options.disable, "mechanism to switch off");
     app.add_option("--fault", options.fault_filter, "only this fault");
     app.add_option("--step", options.step_filter, "only this step");
+    app.add_flag("--expect-red", options.expects_red,
+                 "succeed at the first broken promise, fail if there is none");
     app.add_flag("--trace", options.has_trace, "print the events of each run");
     CLI11_PARSE(app, argc, argv);
     tally total;
+    const auto is_enough = [&] { return options.expects_red && total.red > 0; };
     const auto make = [&](std::uint64_t seed, std::vector<planned_fault> plan) {
         world_options run;
         run.seed = seed;
@@ -109,7 +113,7 @@
         return run;
     };
     if (options.is_double) {
-        for (std::uint64_t i = 0; i < options.doubles; ++i) {
+        for (std::uint64_t i = 0; i < options.doubles && !is_enough(); ++i) {
             std::mt19937_64 random{options.first_seed + i};
             std::vector<planned_fault> plan;
             std::string cell;
@@ -130,7 +134,7 @@
                 const bool is_wanted =
                     (options.fault_filter.empty() || fault_name(what) == options.fault_filter) &&
                     (options.step_filter.empty() || step_name(when) == options.step_filter);
-                for (std::uint64_t i = 0; is_wanted && i < options.seeds; ++i) {
+                for (std::uint64_t i = 0; is_wanted && i < options.seeds && !is_enough(); ++i) {
                     const std::uint64_t seed = options.first_seed + i;
                     const planned_fault item{what, when, static_cast<std::uint32_t>(1 + seed * 7 % 11)};
                     run_one(make(seed, {item}), fault_name(what) + " at " + step_name(when),
@@ -152,5 +156,8 @@
     for (const auto& [name, count] : total.cells) {
         std::printf("  red cell %s: %d\n", name.c_str(), count);
     }
+    if (options.expects_red) {
+        return total.red > 0 ? 0 : 1;
+    }
     return total.red + total.unhealed == 0 ? 0 : 1;
 }
--- a/tests/bench/world.cpp
+++ b/tests/bench/world.cpp
@@ -446,7 +446,8 @@
 void world::carry_out(std::size_t index, const dispatch_request& item) {
     const std::uint64_t life = members_[index].life;
     if (clock_.now() - item.decided >= dispatch_age_limit) {
-        const request_result late{protocol::NOT_RUN, {"engine.dispatch", "", "too late"}, milliseconds{0}, false};
+        const request_result late{
+            protocol::NOT_RUN, {"engine.dispatch", "", "too late"}, milliseconds{0}, false};
         arrive(index, life, duration{0}, [this, item, late](node& decisions) {
             return decisions.on_dispatch_ended(item.server, item.id, late, 0, clock_.now());
         });
@@ -481,8 +482,9 @@
     if (target.leaves_since && clock_.now() - *target.leaves_since > leaving_limit) {
         history_.on_late_work(target.name.text(), request);
     }
-    target.running[item.id] = {request, adapter_key{item.spec.adapter()}, index, life,
-                               0,       item.spec.max_tokens(),           false, false, next_run_++};
+    target.running[item.id] = {request,    adapter_key{item.spec.adapter()}, index, life,
+                               0,          item.spec.max_tokens(),           false, false,
+                               next_run_++};
     events_.after(random_delay(5000, 40'000), [this, server = item.server, start = target.start,
                                                id = item.id] { produce(engine_of(server), start, id); });
 }
@@ -684,7 +686,9 @@
     engine& target = server.is_empty() ? engines_[random_index(engines_.size())] : engine_of(server);
     const std::uint64_t life = item.life;
     const duration length = random_delay(shortest_fault_us, longest_fault_us);
-    const auto later = [this, length](std::function<void()> action) { events_.after(length, std::move(action)); };
+    const auto later = [this, length](std::function<void()> action) {
+        events_.after(length, std::move(action));
+    };
     switch (what) {
     case fault::kill:
         if (item.decisions) {
