--- a/modules/coordination/include/lovageledge/coordination/ownership_keeper.hpp
+++ b/modules/coordination/include/lovageledge/coordination/ownership_keeper.hpp
@@ -118,6 +118,7 @@
     void on_write(const server_name& server, const platform_answer& answer, time_point now,
                   command_list& out);
     void on_written(const server_name& server, entry& item, time_point now, command_list& out);
+    static void remind_owner(const server_name& server, const protocol::Holder& owner, command_list& out);
     void announce_successor(const server_name& server, entry& item, command_list& out);
     void adopt(const server_name& server, entry& item, time_point now);
     void lose(const server_name& server, entry& item, time_point now);
--- a/modules/coordination/ownership_keeper.cpp
+++ b/modules/coordination/ownership_keeper.cpp
@@ -152,6 +152,7 @@
         (!members_.peers().contains(owner_name) && now - *started_ >= 2 * settings_.suspect_after);
     if (!is_free) {
         item.step = phase::none;
+        remind_owner(server, owner, out);
         return;
     }
     protocol::OwnershipRecord taken;
@@ -242,6 +243,15 @@
     events_.push_back(std::move(recorded));
 }
 
+void ownership_keeper::remind_owner(const server_name& server, const protocol::Holder& owner,
+                                    command_list& out) {
+    // It is alive and does not announce the server: the answer that made it the owner was lost.
+    protocol::Envelope message;
+    message.mutable_handover()->set_server(server.text());
+    message.mutable_handover()->set_epoch(owner.epoch());
+    out.emplace_back(send_peer{instance_name{owner.instance()}, std::move(message)});
+}
+
 void ownership_keeper::announce_successor(const server_name& server, entry& item, command_list& out) {
     const instance_name successor{item.record.owner().instance()};
     const std::uint64_t epoch = item.record.owner().epoch();
@@ -250,10 +260,7 @@
     if (successor.is_empty()) {
         return; // Whoever comes first takes it.
     }
-    protocol::Envelope message;
-    message.mutable_handover()->set_server(server.text());
-    message.mutable_handover()->set_epoch(epoch);
-    out.emplace_back(send_peer{successor, std::move(message)});
+    remind_owner(server, item.record.owner(), out);
     item.announced_owner = successor;
     item.announced_epoch = epoch;
 }
--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -1,11 +1,17 @@
 #include "lovageledge/transport/http_server.hpp"
 
+#include <array>
 #include <cassert>
 #include <nlohmann/json.hpp>
 
 namespace lovageledge {
 namespace {
 
+/** Bounds on what is read and thrown away behind a request that was refused unread. */
+constexpr std::size_t discard_block_bytes = std::size_t{16} * 1024;
+constexpr std::size_t discard_limit_bytes = std::size_t{16} * 1024 * 1024;
+constexpr auto discard_timeout = std::chrono::seconds{2};
+
 std::string percent_decoded(std::string_view text) {
     std::string decoded;
     for (std::size_t i = 0; i < text.size(); ++i) {
@@ -227,6 +233,18 @@
     --connections_;
 }
 
+asio::awaitable<void> http_server::discard_input(beast::tcp_stream& stream) {
+    // Closing with unread bytes would reset the connection, and the caller might never read the answer.
+    boost::system::error_code code;
+    stream.socket().shutdown(asio::socket_base::shutdown_send, code);
+    stream.expires_after(discard_timeout);
+    std::array<char, discard_block_bytes> block{};
+    for (std::size_t discarded = 0; !code && discarded < discard_limit_bytes;) {
+        discarded += co_await stream.async_read_some(asio::buffer(block),
+                                                     asio::redirect_error(asio::use_awaitable, code));
+    }
+}
+
 asio::awaitable<bool> http_server::serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
     boost::system::error_code code;
     if (buffer.size() == 0) {
@@ -259,6 +277,7 @@
         nlohmann::json body{
             {"error", {{"step", "http.read"}, {"reason", code.message()}, {"outcome", "not_run"}}}};
         co_await exchange.respond(status, body.dump());
+        co_await discard_input(stream);
         co_return false;
     }
     http_exchange exchange{stream, parser.release(), limits_};
--- a/modules/transport/include/lovageledge/transport/http_server.hpp
+++ b/modules/transport/include/lovageledge/transport/http_server.hpp
@@ -104,6 +104,7 @@
     asio::awaitable<void> accept_loop();
     asio::awaitable<void> serve(asio::ip::tcp::socket socket);
     asio::awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer);
+    static asio::awaitable<void> discard_input(beast::tcp_stream& stream);
 
     asio::io_context& context_;
     http_limits limits_;
