--- a/modules/base/digest.cpp
+++ b/modules/base/digest.cpp
@@ -34,8 +34,16 @@
     return hex({digest.data(), size});
 }
 
+std::uint64_t stable_hash(std::string_view bytes) {
+    return XXH3_64bits(bytes.data(), bytes.size());
+}
+
+std::uint64_t rendezvous_weight(std::uint64_t key_hash, std::uint64_t candidate_hash) {
+    return XXH3_64bits_withSeed(&candidate_hash, sizeof candidate_hash, key_hash);
+}
+
 std::uint64_t rendezvous_weight(std::string_view key, std::string_view candidate) {
-    return XXH3_64bits_withSeed(candidate.data(), candidate.size(), XXH3_64bits(key.data(), key.size()));
+    return rendezvous_weight(stable_hash(key), stable_hash(candidate));
 }
 
 std::string random_identifier() {
--- a/modules/base/include/lovageledge/base/digest.hpp
+++ b/modules/base/include/lovageledge/base/digest.hpp
@@ -14,6 +14,12 @@
     @returns a weight that is uniform over candidates */
 std::uint64_t rendezvous_weight(std::string_view key, std::string_view candidate);
 
+/** @returns a 64-bit hash of the bytes, the same on every instance. Thread-safe. */
+std::uint64_t stable_hash(std::string_view bytes);
+
+/** As above, for names that are hashed once and weighed often. @see stable_hash */
+std::uint64_t rendezvous_weight(std::uint64_t key_hash, std::uint64_t candidate_hash);
+
 /** @returns an identifier of 128 random bits as hexadecimal digits, for starts and requests. Thread-safe. */
 std::string random_identifier();
 
--- a/modules/coordination/include/lovageledge/coordination/ownership_keeper.hpp
+++ b/modules/coordination/include/lovageledge/coordination/ownership_keeper.hpp
@@ -71,7 +71,10 @@
         that we hand over. */
     void set_drained(const server_name& server, bool is_drained, bool has_open_order);
     /** This instance stops: all servers are handed over. */
-    void set_draining() { is_draining_ = true; }
+    void set_draining() {
+        is_draining_ = true;
+        candidates_.clear();
+    }
 
     /** @returns true if this instance owns nothing and all its drains are acknowledged */
     bool is_released() const;
@@ -129,7 +132,7 @@
     void write_successor(const server_name& server, entry& item, time_point now, command_list& out);
     void report_drained(const server_name& server, entry& item, time_point now, command_list& out);
     bool drop_finished_holders(entry& item, protocol::OwnershipRecord& record, time_point now) const;
-    instance_name desired_owner(const backend_server& server) const;
+    instance_name desired_owner(const backend_server& server);
     bool is_self(const protocol::Holder& holder) const;
     protocol::Holder self_holder(std::uint64_t epoch) const;
 
@@ -141,6 +144,13 @@
     std::map<server_name, entry> entries_;
     std::map<server_name, backend_server> declared_;
     revision_number declared_revision_ = 0;
+    /** An instance that may own servers, with the hash of its name. */
+    struct candidate {
+        std::uint64_t hash = 0;
+        instance_name name;
+    };
+    /** By the servers' region; renewed with each rebalance. */
+    std::map<region_name, std::vector<candidate>> candidates_;
     std::vector<ownership_event> events_;
     std::optional<time_point> started_;
     time_point last_rebalance_{};
--- a/modules/coordination/include/lovageledge/coordination/router.hpp
+++ b/modules/coordination/include/lovageledge/coordination/router.hpp
@@ -85,6 +85,11 @@
     const std::map<server_name, server_view>& servers() const { return views_; }
 
 private:
+    /** A server of a pool, with the hash of its name. */
+    struct pool_member {
+        std::uint64_t hash = 0;
+        const backend_server* server = nullptr;
+    };
     struct candidate_list {
         std::vector<server_name> servers;
         /** Requests for the adapter that went to another region since one was served in this region. */
@@ -99,6 +104,7 @@
     const instance_identity& self_;
     const coordination_settings& settings_;
     configuration_ptr config_;
+    std::map<pool_name, std::vector<pool_member>> pool_members_;
     cost_function cost_;
     std::map<server_name, server_view> views_;
     std::unordered_map<adapter_key, std::set<server_name>> holders_;
--- a/modules/coordination/include/lovageledge/coordination/settings.hpp
+++ b/modules/coordination/include/lovageledge/coordination/settings.hpp
@@ -7,6 +7,14 @@
 
 namespace lovageledge {
 
+/** How an entry chooses a server. */
+enum class placement_policy : std::uint8_t {
+    /** The least cost, see router. */
+    cost,
+    /** The fewest requests under way, over all servers of the pool: a baseline to compare with. */
+    least_outstanding,
+};
+
 /** How an instance decides; read from its INI file, the defaults suit the sizes of today. */
 struct coordination_settings {
     /** Between two heartbeats to a peer. */
@@ -33,6 +41,7 @@
     /** Tokens in flight to a caller that reads slowly. */
     std::uint32_t credit_window = 256;
 
+    placement_policy placement = placement_policy::cost;
     /** Requests that wait at one server. */
     std::uint32_t queue_limit = 256;
     /** Requests of at least this many tokens are long. */
--- a/modules/coordination/ownership_keeper.cpp
+++ b/modules/coordination/ownership_keeper.cpp
@@ -41,17 +41,25 @@
     return holder;
 }
 
-instance_name ownership_keeper::desired_owner(const backend_server& server) const {
-    instance_name best;
+instance_name ownership_keeper::desired_owner(const backend_server& server) {
+    const auto [cached, is_new] = candidates_.try_emplace(server.region);
+    if (is_new) {
+        for (instance_name& name : members_.candidates(server.region)) {
+            const std::uint64_t hash = stable_hash(name.text());
+            cached->second.push_back({hash, std::move(name)});
+        }
+    }
+    const std::uint64_t server_hash = stable_hash(server.name.text());
+    const candidate* best = nullptr;
     std::uint64_t best_weight = 0;
-    for (const instance_name& candidate : members_.candidates(server.region)) {
-        const std::uint64_t weight = rendezvous_weight(server.name.text(), candidate.text());
-        if (best.is_empty() || weight > best_weight) {
-            best = candidate;
+    for (const candidate& item : cached->second) {
+        const std::uint64_t weight = rendezvous_weight(server_hash, item.hash);
+        if (best == nullptr || weight > best_weight) {
+            best = &item;
             best_weight = weight;
         }
     }
-    return best;
+    return best == nullptr ? instance_name{} : best->name;
 }
 
 void ownership_keeper::on_tick(const configuration& config, time_point now, command_list& out) {
@@ -69,6 +77,7 @@
     const bool is_rebalance_due = now - last_rebalance_ >= settings_.rebalance_interval;
     if (is_rebalance_due) {
         last_rebalance_ = now;
+        candidates_.clear();
     }
     for (auto& [name, item] : entries_) {
         if (item.step == phase::none && is_settled && is_rebalance_due) {
--- a/modules/coordination/router.cpp
+++ b/modules/coordination/router.cpp
@@ -16,6 +16,12 @@
 
 router::router(const instance_identity& self, const coordination_settings& settings)
     : self_{self}, settings_{settings} {
+    if (settings_.placement == placement_policy::least_outstanding) {
+        cost_ = [](const backend_server&, const server_load& load, std::uint32_t sent, bool, bool) {
+            return duration{std::chrono::milliseconds{load.running + load.waiting + sent}};
+        };
+        return;
+    }
     cost_ = [this](const backend_server& server, const server_load& load, std::uint32_t sent, bool is_loaded,
                    bool /*is_remote*/) {
         const bool fits = load.waiting == 0 && load.running + sent < server.batch;
@@ -35,6 +41,10 @@
 void router::set_configuration(const configuration_ptr& config) {
     config_ = config;
     preferred_.clear();
+    pool_members_.clear();
+    for (const auto& [name, server] : config_->servers) {
+        pool_members_[server.pool].push_back({stable_hash(name.text()), &server});
+    }
 }
 
 bool router::on_report(const instance_name& owner, const protocol::ServerReport& report) {
@@ -127,11 +137,10 @@
     }
     std::vector<std::pair<std::uint64_t, const backend_server*>> local;
     std::vector<std::pair<std::uint64_t, const backend_server*>> remote;
-    for (const auto& [name, server] : config_->servers) {
-        if (server.pool == pool) {
-            auto& side = server.region == self_.region ? local : remote;
-            side.emplace_back(rendezvous_weight(key.text(), name.text()), &server);
-        }
+    const std::uint64_t key_hash = stable_hash(key.text());
+    for (const pool_member& member : pool_members_[pool]) {
+        auto& side = member.server->region == self_.region ? local : remote;
+        side.emplace_back(rendezvous_weight(key_hash, member.hash), member.server);
     }
     for (auto* side : {&local, &remote}) {
         const auto count = static_cast<std::ptrdiff_t>(std::min(preferred_per_side, side->size()));
@@ -156,7 +165,7 @@
     const bool is_loaded = view->adapters.contains(key);
     const bool is_remote = declared->second.region != self_.region;
     duration cost = cost_(declared->second, view->load, view->sent, is_loaded, is_remote);
-    if (is_remote) {
+    if (is_remote && settings_.placement == placement_policy::cost) {
         cost += settings_.remote_penalty * (1 + remote_picks);
     }
     if (!best || cost < best->cost) {
@@ -181,7 +190,8 @@
     for (const server_name& server : preferred.servers) {
         consider(server, key, excluded, preferred.remote_picks, best);
     }
-    if (!best) {
+    const bool is_baseline = settings_.placement == placement_policy::least_outstanding;
+    if (!best || is_baseline) {
         // The preferred servers are away: any server of the pool will do.
         for (const auto& [name, server] : config_->servers) {
             if (server.pool == declared->second.pool) {
--- a/modules/service/daemon_settings.cpp
+++ b/modules/service/daemon_settings.cpp
@@ -188,6 +188,12 @@
     reader.number(section, "credit_window", settings.credit_window, 2, 65536);
     reader.number(section, "watchers_per_data_centre", settings.watchers_per_data_centre, 1, 100);
     const std::string policy = "policy";
+    std::string placement = "cost";
+    reader.text(policy, "placement", placement);
+    if (placement != "cost" && placement != "least_outstanding") {
+        reader.fail(policy, "placement", "cost or least_outstanding");
+    }
+    settings.placement = placement == "cost" ? placement_policy::cost : placement_policy::least_outstanding;
     reader.number(policy, "queue_limit", settings.queue_limit, 1, 100'000);
     reader.number(policy, "long_tokens", settings.long_tokens, 1, 1'000'000);
     reader.share(policy, "long_share_percent", settings.long_share);
