--- a/modules/coordination/include/lovageledge/coordination/load_budget.hpp
+++ b/modules/coordination/include/lovageledge/coordination/load_budget.hpp
@@ -39,6 +39,8 @@
     void reset();
 
     std::size_t in_flight() const { return granted_.size(); }
+    /** @returns time until a load that is asked for now may start */
+    duration backlog(const weight_store_limits& limits) const;
 
 private:
     struct waiting_ticket {
--- a/modules/coordination/include/lovageledge/coordination/ownership_keeper.hpp
+++ b/modules/coordination/include/lovageledge/coordination/ownership_keeper.hpp
@@ -133,6 +133,7 @@
     void report_drained(const server_name& server, entry& item, time_point now, command_list& out);
     bool drop_finished_holders(entry& item, protocol::OwnershipRecord& record, time_point now) const;
     instance_name desired_owner(const backend_server& server);
+    duration retry_pause(const server_name& server) const;
     bool is_self(const protocol::Holder& holder) const;
     protocol::Holder self_holder(std::uint64_t epoch) const;
 
--- a/modules/coordination/include/lovageledge/coordination/router.hpp
+++ b/modules/coordination/include/lovageledge/coordination/router.hpp
@@ -48,6 +48,9 @@
     /** Replaces the cost of a candidate. */
     void set_cost_function(cost_function cost) { cost_ = std::move(cost); }
 
+    /** Sets how long a load that is asked for now waits for the weight store. */
+    void set_load_backlog(duration backlog) { load_backlog_ = backlog; }
+
     /** An owner reports one of its servers. Older epochs than the known one are ignored.
         @returns true if the report was taken */
     bool on_report(const instance_name& owner, const protocol::ServerReport& report);
@@ -106,6 +109,7 @@
     configuration_ptr config_;
     std::map<pool_name, std::vector<pool_member>> pool_members_;
     cost_function cost_;
+    duration load_backlog_{};
     std::map<server_name, server_view> views_;
     std::unordered_map<adapter_key, std::set<server_name>> holders_;
     std::unordered_map<adapter_key, candidate_list> preferred_;
--- a/modules/coordination/include/lovageledge/coordination/server_owner.hpp
+++ b/modules/coordination/include/lovageledge/coordination/server_owner.hpp
@@ -222,6 +222,8 @@
     /** After a pause nothing is admitted until peers had time to tell what changed meanwhile. */
     time_point hold_until_{};
     duration token_time_ = std::chrono::milliseconds{10};
+    /** Mean length of requests that are not long. */
+    duration::rep short_tokens_ = 32;
     /** Mean time from a wish to its adapter's first use. */
     duration load_delay_;
     duration first_token_time_ = std::chrono::milliseconds{20};
--- a/modules/coordination/load_budget.cpp
+++ b/modules/coordination/load_budget.cpp
@@ -54,6 +54,11 @@
     return grants;
 }
 
+duration load_budget::backlog(const weight_store_limits& limits) const {
+    const double seconds = static_cast<double>(waiting_.size()) / limits.loads_per_second;
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
 void load_budget::reset() {
     waiting_.clear();
     granted_.clear();
--- a/modules/coordination/node.cpp
+++ b/modules/coordination/node.cpp
@@ -502,11 +502,13 @@
 void node::on_heartbeat(const instance_name& from, const start_id& start,
                         const protocol::Heartbeat& heartbeat, time_point now, command_list& out) {
     membership::change change = membership::change::none;
+    bool is_budget_holder = false;
     {
         const std::scoped_lock lock{control_mutex_};
         change = members_.on_heartbeat(from, start, heartbeat, now);
         const auto peer = members_.peers().find(from);
         const bool is_current = peer != members_.peers().end() && peer->second.start == start;
+        is_budget_holder = members_.budget_holder() == from;
         if (!is_current) {
             return;
         }
@@ -527,6 +529,9 @@
     std::vector<std::pair<server_name, start_id>> leaving;
     {
         const std::scoped_lock lock{router_mutex_};
+        if (is_budget_holder) {
+            router_.set_load_backlog(milliseconds{heartbeat.load_backlog_ms()});
+        }
         for (const auto& report : heartbeat.servers()) {
             router_.on_report(from, report);
         }
@@ -647,6 +652,11 @@
     heartbeat.set_data_centre(identity_.data_centre.text());
     heartbeat.set_revision(configurations_.current() ? configurations_.current()->revision : 0);
     heartbeat.set_draining(is_draining_);
+    const configuration_ptr config = current_configuration();
+    if (config && members_.budget_holder() == identity_.name) {
+        heartbeat.set_load_backlog_ms(static_cast<std::uint32_t>(
+            std::chrono::duration_cast<milliseconds>(budget_.backlog(config->store)).count()));
+    }
     for (const instance_name& suspect : members_.suspects()) {
         heartbeat.add_suspects(suspect.text());
     }
@@ -719,6 +729,9 @@
         out.emplace_back(send_peer{name, std::move(message)});
     }
     const std::scoped_lock lock{router_mutex_};
+    if (members_.budget_holder() == identity_.name) {
+        router_.set_load_backlog(milliseconds{heartbeat.load_backlog_ms()});
+    }
     for (const auto& report : heartbeat.servers()) {
         router_.on_report(identity_.name, report);
         ownership_.on_announced(server_name{report.server()}, identity_.name, report.epoch(), now);
--- a/modules/coordination/ownership_keeper.cpp
+++ b/modules/coordination/ownership_keeper.cpp
@@ -11,6 +11,8 @@
 
 const std::string ownership_kind = "ownership";
 constexpr auto record_retry_pause = milliseconds{300};
+/** After an outage, the owners' retries are spread over this time. */
+constexpr std::uint64_t outage_spread_ms = 4000;
 /** A server is handed over for balance only after it was owned this long. */
 constexpr auto rebalance_hold = seconds{3};
 /** A server that nobody announces for this long may be taken. */
@@ -107,6 +109,14 @@
     read(server, item, out);
 }
 
+duration ownership_keeper::retry_pause(const server_name& server) const {
+    if (is_platform_up_) {
+        return record_retry_pause;
+    }
+    return record_retry_pause +
+           milliseconds{stable_hash(server.text() + self_.start.text()) % outage_spread_ms};
+}
+
 void ownership_keeper::read(const server_name& server, entry& item, command_list& out) {
     item.is_call_open = true;
     calls_.start(
@@ -121,8 +131,8 @@
                                command_list& out) {
     entry& item = entries_[server];
     item.is_call_open = false;
-    item.next_try = now + record_retry_pause;
     is_platform_up_ = answer.status != platform_status::unavailable;
+    item.next_try = now + retry_pause(server);
     protocol::OwnershipRecord record;
     const bool is_readable = answer.status == platform_status::not_found ||
                              (answer.status == platform_status::ok && from_json(answer.data, record));
@@ -195,8 +205,8 @@
                                 command_list& out) {
     entry& item = entries_[server];
     item.is_call_open = false;
-    item.next_try = now + record_retry_pause;
     is_platform_up_ = answer.status != platform_status::unavailable;
+    item.next_try = now + retry_pause(server);
     if (answer.status == platform_status::ok) {
         item.version = answer.version;
         on_written(server, item, now, out);
--- a/modules/coordination/router.cpp
+++ b/modules/coordination/router.cpp
@@ -32,7 +32,7 @@
                      : duration{typical_token_time} * typical_tokens * sent / batch;
         cost += duration{typical_token_time} * load.running / batch;
         if (!is_loaded) {
-            cost += std::max(settings_.load_time, load.load_estimate);
+            cost += std::max(settings_.load_time, load.load_estimate) + load_backlog_;
         }
         return cost;
     };
--- a/modules/coordination/server_owner.cpp
+++ b/modules/coordination/server_owner.cpp
@@ -219,6 +219,9 @@
     if (request.is_alone) {
         last_lone_run_ = now;
     }
+    if (request.expected_tokens < settings_.long_tokens) {
+        short_tokens_ += (static_cast<duration::rep>(request.expected_tokens) - short_tokens_) / mean_window;
+    }
     const bool may_run_still = result.outcome == protocol::UNKNOWN && request.holds_slot;
     if (may_run_still) {
         lingering_.emplace(id, request.key);
@@ -716,14 +719,10 @@
     if (waiting_.empty() && running_.size() < server_.batch) {
         return first_token_time_;
     }
-    duration::rep tokens = 0;
-    for (const waiting_request& request : waiting_) {
-        tokens += request.spec.max_tokens();
-    }
-    for (const auto& [id, request] : running_) {
-        tokens += request.expected_tokens - std::min(request.expected_tokens, request.sent_tokens);
-    }
-    return first_token_time_ + token_time_ * tokens / static_cast<duration::rep>(server_.batch) / 2;
+    // Long requests keep their places; the others free theirs after a typical short request's time.
+    const std::uint32_t places = std::max(1U, server_.batch - std::min(server_.batch, long_running()));
+    const auto ahead = static_cast<duration::rep>(waiting_.size()) + 1;
+    return first_token_time_ + token_time_ * short_tokens_ * ahead / static_cast<duration::rep>(places);
 }
 
 duration server_owner::estimated_load() const {
