--- a/modules/service/instance.cpp
+++ b/modules/service/instance.cpp
@@ -162,7 +162,7 @@
 
 void instance::carry_out(confirm_ended& item) {
     const auto link = link_to(item.server);
-    link->confirm(std::move(item));
+    link->confirm(item);
 }
 
 void instance::carry_out(extend_credit& item) {
--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -151,7 +151,8 @@
 }
 
 http_server::http_server(asio::io_context& context, http_limits limits, handler on_request)
-    : context_{context}, limits_{limits}, on_request_{std::move(on_request)}, acceptor_{context} {}
+    : context_{context}, limits_{limits}, on_request_{std::move(on_request)}, acceptor_{asio::make_strand(
+                                                                                  context)} {}
 
 bool http_server::listen(const std::string& address, error& why) {
     const auto endpoint = parse_endpoint(address);
@@ -174,12 +175,12 @@
         why = {"http.listen", address, code.message()};
         return false;
     }
-    asio::co_spawn(context_, accept_loop(), asio::detached);
+    asio::co_spawn(acceptor_.get_executor(), accept_loop(), asio::detached);
     return true;
 }
 
 void http_server::stop_accepting() {
-    asio::post(context_, [this] {
+    asio::post(acceptor_.get_executor(), [this] {
         boost::system::error_code ignored;
         acceptor_.close(ignored);
     });
--- a/tests/bench/history.cpp
+++ b/tests/bench/history.cpp
@@ -78,8 +78,9 @@
         run = i == 0 ? token.substr(mark) : run;
         if (token.substr(0, mark) != expected || token.substr(mark) != run) {
             const bool is_adapter = !token.starts_with(facts.adapter + "#");
-            found.push_back({is_adapter ? promise::right_adapter : promise::whole_answer,
-                             id + " got " + token + " for " + expected + run});
+            found.push_back(
+                {is_adapter ? promise::right_adapter : promise::whole_answer,
+                 std::string{id}.append(" got ").append(token).append(" for ").append(expected).append(run)});
             break;
         }
     }
--- a/tests/bench/world.cpp
+++ b/tests/bench/world.cpp
@@ -344,68 +344,73 @@
     target.loaded.erase(key);
 }
 
+void world::send_order(std::size_t index, const server_name& server, const order_transit& transit,
+                       const std::function<order_result(engine&)>& effect,
+                       const std::function<void(order_result)>& answer) {
+    const order_connection connection = members_[index].orders[server];
+    engine& target = engine_of(server);
+    if (!connection.is_open || connection.start != target.start) {
+        answer(order_result::no_answer);
+        return;
+    }
+    const bool is_lost = target.lost_orders > 0 && chance(0.7);
+    if (is_lost) {
+        --target.lost_orders;
+        answer(order_result::no_answer);
+    }
+    const duration delay =
+        is_lost ? random_delay(0, late_order_us) : random_delay(transit.least_us, transit.most_us);
+    events_.after(delay, [this, server, effect, answer, is_lost, start = target.start] {
+        engine& late = engine_of(server);
+        const order_result result = late.start == start ? effect(late) : order_result::no_answer;
+        if (!is_lost) {
+            answer(result);
+        }
+    });
+}
+
+bool world::is_fenced_off(engine& target, std::uint64_t fencing) const {
+    const bool is_old = options_.has_fencing && fencing < target.fencing;
+    target.fencing = std::max(target.fencing, fencing);
+    return is_old;
+}
+
 void world::carry_out(std::size_t index, const order_load& item) {
-    using result = server_owner::order_result;
-    member& owner = members_[index];
-    const std::uint64_t life = owner.life;
-    const order_connection connection = owner.orders[item.server];
-    const auto answer = [this, index, life, item, generation = connection.generation](result what) {
+    const std::uint64_t life = members_[index].life;
+    const auto answer = [this, index, life, item,
+                         generation = members_[index].orders[item.server].generation](order_result what) {
         const bool is_current =
             members_[index].life == life && members_[index].orders[item.server].generation == generation;
         arrive(
             index, life, random_delay(200, 2000),
-            [this, item, what, is_current](node& decisions) {
-                return decisions.on_load_answer(item.server, item.key, is_current ? what : result::no_answer,
-                                                clock_.now());
+            [this, item, result = is_current ? what : order_result::no_answer](node& decisions) {
+                return decisions.on_load_answer(item.server, item.key, result, clock_.now());
             },
             [this, index, item] { observe(step::load_answer, index, item.server); });
     };
-    engine& target = engine_of(item.server);
-    if (!connection.is_open || connection.start != target.start) {
-        answer(result::no_answer);
-        return;
-    }
-    const bool is_lost = target.lost_orders > 0 && chance(0.7);
-    if (is_lost) {
-        --target.lost_orders;
-        answer(result::no_answer);
-    }
-    const duration delay = is_lost ? random_delay(0, late_order_us) : random_delay(5000, 40'000);
-    events_.after(delay, [this, item, answer, is_lost, start = target.start] {
-        engine& late = engine_of(item.server);
-        if (late.start != start) {
-            if (!is_lost) {
-                answer(result::no_answer);
-            }
-            return;
+    const auto effect = [this, item](engine& target) {
+        if (is_fenced_off(target, item.fencing)) {
+            return order_result::refused;
         }
-        const bool is_old = options_.has_fencing && item.fencing < late.fencing;
-        late.fencing = std::max(late.fencing, item.fencing);
-        result what = result::done;
-        if (is_old) {
-            what = result::refused;
-        } else if (late.failing_loads > 0) {
-            --late.failing_loads;
-            what = result::refused;
-        } else if (late.loaded.contains(item.key)) {
-            what = result::already_loaded;
-        } else if (late.loaded.size() >= options_.slots) {
-            what = result::no_slot;
-        } else {
-            late.loaded.insert(item.key);
+        if (target.failing_loads > 0) {
+            --target.failing_loads;
+            return order_result::refused;
         }
-        if (!is_lost) {
-            answer(what);
+        if (target.loaded.contains(item.key)) {
+            return order_result::already_loaded;
         }
-    });
+        if (target.loaded.size() >= options_.slots) {
+            return order_result::no_slot;
+        }
+        target.loaded.insert(item.key);
+        return order_result::done;
+    };
+    send_order(index, item.server, {5000, 40'000}, effect, answer);
 }
 
 void world::carry_out(std::size_t index, const order_unload& item) {
-    using result = server_owner::order_result;
-    member& owner = members_[index];
-    const std::uint64_t life = owner.life;
-    const order_connection connection = owner.orders[item.server];
-    const auto answer = [this, index, life, item](result what) {
+    const std::uint64_t life = members_[index].life;
+    const auto answer = [this, index, life, item](order_result what) {
         arrive(
             index, life, random_delay(200, 2000),
             [this, item, what](node& decisions) {
@@ -413,34 +418,14 @@
             },
             [this, index, item] { observe(step::evict_answer, index, item.server); });
     };
-    engine& target = engine_of(item.server);
-    if (!connection.is_open || connection.start != target.start) {
-        answer(result::no_answer);
-        return;
-    }
-    const bool is_lost = target.lost_orders > 0 && chance(0.7);
-    if (is_lost) {
-        --target.lost_orders;
-        answer(result::no_answer);
-    }
-    const duration delay = is_lost ? random_delay(0, late_order_us) : random_delay(200, 3000);
-    events_.after(delay, [this, item, answer, is_lost, start = target.start] {
-        engine& late = engine_of(item.server);
-        if (late.start != start) {
-            if (!is_lost) {
-                answer(result::no_answer);
-            }
-            return;
+    const auto effect = [this, item](engine& target) {
+        if (is_fenced_off(target, item.fencing)) {
+            return order_result::refused;
         }
-        const bool is_old = options_.has_fencing && item.fencing < late.fencing;
-        late.fencing = std::max(late.fencing, item.fencing);
-        if (!is_old) {
-            evict(late, item.key);
-        }
-        if (!is_lost) {
-            answer(is_old ? result::refused : result::done);
-        }
-    });
+        evict(target, item.key);
+        return order_result::done;
+    };
+    send_order(index, item.server, {200, 3000}, effect, answer);
 }
 
 void world::carry_out(std::size_t index, const dispatch_request& item) {
--- a/tests/bench/world.hpp
+++ b/tests/bench/world.hpp
@@ -156,6 +156,11 @@
         std::uint64_t version = 0;
         std::string data;
     };
+    using order_result = server_owner::order_result;
+    struct order_transit {
+        int least_us = 0;
+        int most_us = 0;
+    };
     struct submission {
         std::string request;
         std::string adapter;
@@ -201,6 +206,13 @@
     void begin_run(std::size_t index, std::uint64_t life, const dispatch_request& item, engine& target);
     void produce(engine& target, const start_id& start, const attempt_id& id);
     void end_run(engine& target, const attempt_id& id, protocol::Outcome outcome, const std::string& reason);
+    /** Sends an order on the order connection; its answer may be lost, and then its effect comes late.
+        @param transit time on the way @param effect what the engine does with it */
+    void send_order(std::size_t index, const server_name& server, const order_transit& transit,
+                    const std::function<order_result(engine&)>& effect,
+                    const std::function<void(order_result)>& answer);
+    /** @returns true if the engine refuses the fencing number */
+    bool is_fenced_off(engine& target, std::uint64_t fencing) const;
     void evict(engine& target, const adapter_key& key);
     void restart_engine(engine& target);
 
