--- a/modules/coordination/include/lovageledge/coordination/server_owner.hpp
+++ b/modules/coordination/include/lovageledge/coordination/server_owner.hpp
@@ -48,11 +48,11 @@
     /** Starts ownership. @param epoch of the record @param former holders that are not drained */
     void begin(std::uint64_t epoch, std::vector<protocol::Holder> former, time_point now, command_list& out);
     /** Replaces the former holders, when some are drained or gone. */
-    void set_former(std::vector<protocol::Holder> former, time_point now, command_list& out);
+    void set_former(std::vector<protocol::Holder> former, time_point now);
 
-    /** Stops admission: waiting requests are refused as not run, running ones go on.
-        @param reason for the refusals @param may_evict_no_more also gives up every eviction right */
-    void stop_admission(const std::string& reason, bool may_evict_no_more, time_point now, command_list& out);
+    /** Stops admission and gives up every right to evict: waiting requests are refused as not run, running ones
+        go on. @param reason for the refusals */
+    void stop_admission(const std::string& reason, command_list& out);
     /** Takes admission up again after stop_admission(). */
     void resume_admission();
     /** @returns true if admission has stopped, no request runs and no order is open; it stays so until
@@ -67,7 +67,7 @@
     void on_submit(const instance_name& from, const protocol::Submit& submit, const configuration& config,
                    time_point now, command_list& out);
     /** Its entry gives an attempt up; a waiting one is confirmed as not run, a running one is cancelled. */
-    void on_cancel(const attempt_id& id, time_point now, command_list& out);
+    void on_cancel(const attempt_id& id, command_list& out);
     /** The caller took tokens. */
     void on_credit(const attempt_id& id, std::uint32_t tokens, command_list& out);
 
@@ -102,7 +102,7 @@
     void on_recorded(const std::set<adapter_key>& intents, const start_id& recorded_for, std::uint64_t ticket,
                      const configuration& config, time_point now, command_list& out);
     /** The server leaves: nothing new is admitted for this engine start. */
-    void set_leaving(const start_id& start, time_point now, command_list& out);
+    void set_leaving(const start_id& start, command_list& out);
 
     /** Timed work: deadlines, backoff, repeated budget requests. */
     void on_tick(const configuration& config, time_point now, command_list& out);
@@ -117,7 +117,7 @@
     void set_suspects(const std::set<std::string>& suspects) { suspects_ = suspects; }
 
     /** @returns the load as entries are told it */
-    server_load load(time_point now) const;
+    server_load load() const;
     /** @returns the adapters that requests can use now */
     std::vector<adapter_key> usable_adapters() const { return slots_.usable(); }
     const backend_server& server() const { return server_; }
@@ -178,7 +178,7 @@
     bool has_lone_run() const;
     std::uint32_t long_running() const;
     std::set<adapter_key> waiting_adapters() const;
-    duration estimated_wait(time_point now) const;
+    duration estimated_wait() const;
     duration estimated_load() const;
     duration rank_of(const protocol::RequestSpec& spec) const;
 
--- a/modules/coordination/node.cpp
+++ b/modules/coordination/node.cpp
@@ -279,7 +279,7 @@
     command_list out;
     with_owner(server, now, out, [&](server_owner& owner, const configuration& config) {
         if (is_leaving) {
-            owner.set_leaving(start, now, out);
+            owner.set_leaving(start, out);
         }
         owner.on_status(start, loaded, config, now, out);
     });
@@ -366,19 +366,19 @@
     case ownership_event::kind::began:
         break;
     case ownership_event::kind::handing_over:
-        shard->owner.stop_admission("server is handed over", true, now, out);
+        shard->owner.stop_admission("server is handed over", out);
         break;
     case ownership_event::kind::resumed:
         shard->owner.resume_admission();
         break;
     case ownership_event::kind::lost:
-        shard->owner.stop_admission("server has another owner", true, now, out);
+        shard->owner.stop_admission("server has another owner", out);
         break;
     case ownership_event::kind::recorded:
         shard->owner.on_recorded(change.intents, change.server_start, change.ticket, config, now, out);
         break;
     case ownership_event::kind::former_changed:
-        shard->owner.set_former(change.former, now, out);
+        shard->owner.set_former(change.former, now);
         break;
     }
 }
@@ -420,7 +420,7 @@
         with_owner(server_name{message.cancel().server()}, now, out,
                    [&](server_owner& owner, const configuration&) {
                        owner.on_cancel({request_id{message.cancel().request()}, message.cancel().attempt()},
-                                       now, out);
+                                       out);
                    });
         break;
     case protocol::Envelope::kCredit:
@@ -548,7 +548,7 @@
         log_(event::server_leaving,
              fmt::format("server={} start={} source={}", name.text(), server_start.text(), from.text()));
         with_owner(name, now, out, [&, left = server_start](server_owner& owner, const configuration&) {
-            owner.set_leaving(left, now, out);
+            owner.set_leaving(left, out);
         });
     }
     if (heartbeat.fingerprints_size() > 0) {
@@ -639,7 +639,7 @@
         log_(event::server_leaving,
              fmt::format("server={} start={} source=list", server.text(), start.text()));
         with_owner(server, now, out, [&, left = start](server_owner& owner, const configuration&) {
-            owner.set_leaving(left, now, out);
+            owner.set_leaving(left, out);
         });
     }
 }
@@ -672,7 +672,7 @@
     }
     for (const auto& [name, shard] : owned) {
         const std::scoped_lock lock{shard->mutex};
-        const server_load load = shard->owner.load(now);
+        const server_load load = shard->owner.load();
         auto* report = heartbeat.add_servers();
         report->set_server(name.text());
         report->set_start(load.start.text());
--- a/modules/coordination/server_owner.cpp
+++ b/modules/coordination/server_owner.cpp
@@ -62,7 +62,7 @@
     out.emplace_back(probe_server{server_.name, server_.address, true});
 }
 
-void server_owner::set_former(std::vector<protocol::Holder> former, time_point now, command_list& /*out*/) {
+void server_owner::set_former(std::vector<protocol::Holder> former, time_point now) {
     former_ = std::move(former);
     if (former_.empty()) {
         slots_.clear_inherited();
@@ -70,12 +70,9 @@
     update_poisoned(now);
 }
 
-void server_owner::stop_admission(const std::string& reason, bool may_evict_no_more, time_point /*now*/,
-                                  command_list& out) {
+void server_owner::stop_admission(const std::string& reason, command_list& out) {
     is_admitting_ = false;
-    if (may_evict_no_more) {
-        may_evict_ = false;
-    }
+    may_evict_ = false;
     for (const waiting_request& request : waiting_) {
         refuse(request, reason, out);
     }
@@ -144,7 +141,7 @@
         refuse(request, "version is retired", out);
         return;
     }
-    if (estimated_wait(now) > milliseconds{spec.remaining_ms()}) {
+    if (estimated_wait() > milliseconds{spec.remaining_ms()}) {
         refuse(request, "would miss its deadline", out);
         return;
     }
@@ -161,7 +158,7 @@
     schedule(config, now, out);
 }
 
-void server_owner::on_cancel(const attempt_id& id, time_point /*now*/, command_list& out) {
+void server_owner::on_cancel(const attempt_id& id, command_list& out) {
     const auto waiting =
         std::find_if(waiting_.begin(), waiting_.end(), [&](const auto& w) { return w.id == id; });
     if (waiting != waiting_.end()) {
@@ -462,7 +459,7 @@
     touch_generation();
 }
 
-void server_owner::set_leaving(const start_id& start, time_point /*now*/, command_list& out) {
+void server_owner::set_leaving(const start_id& start, command_list& out) {
     leaving_start_ = start;
     if (start != start_) {
         return;
@@ -715,7 +712,7 @@
     ++generation_;
 }
 
-duration server_owner::estimated_wait(time_point /*now*/) const {
+duration server_owner::estimated_wait() const {
     if (waiting_.empty() && running_.size() < server_.batch) {
         return first_token_time_;
     }
@@ -730,12 +727,12 @@
     return std::max<duration>(settings_.load_time, load_delay_) + settings_.load_time * wanted;
 }
 
-server_load server_owner::load(time_point now) const {
+server_load server_owner::load() const {
     const bool is_leaving = leaving_start_ && *leaving_start_ == start_;
     return {start_,
             static_cast<std::uint32_t>(running_.size()),
             static_cast<std::uint32_t>(waiting_.size()),
-            estimated_wait(now),
+            estimated_wait(),
             estimated_load(),
             is_admitting_ && is_reachable_ && !is_leaving,
             generation_};
--- a/tests/bench/world.cpp
+++ b/tests/bench/world.cpp
@@ -139,12 +139,7 @@
     for (node_command& item : commands) {
         // A command leaves a moment after it was decided; a pause or a death may come between.
         events_.after(std::chrono::microseconds{50}, [this, index, life, item = std::move(item)] {
-            at_instance(index, life, [this, index, life, item] {
-                depart(index, item);
-                if (members_[index].life == life && members_[index].decisions) {
-                    return;
-                }
-            });
+            at_instance(index, life, [this, index, item] { depart(index, item); });
         });
     }
 }
@@ -819,10 +814,8 @@
     members_[*index].entered.insert(item.request);
     open_[item.request] = item;
     at_instance(*index, members_[*index].life, [this, index = *index, ticket] {
-        const std::uint64_t life = members_[index].life;
         execute(index, members_[index].decisions->accept(ticket, clock_.now()));
         observe(step::accept, index, server_name{});
-        static_cast<void>(life);
     });
 }
 
--- a/tests/process/test_processes.py
+++ b/tests/process/test_processes.py
@@ -149,7 +149,9 @@
             self.deployment.wait_for(lambda: self.deployment.status(index)["revision"] == 2, "revision 2 everywhere")
         history = json.loads(self.deployment.ledge("--json", "history").stdout)
         self.assertEqual(["2", "1"], [record["revision"] for record in history])
-        self.assertIn("+", self.deployment.ledge("explain", "2").stdout)
+        explained = self.deployment.ledge("explain", "2")
+        self.assertEqual((0, ""), (explained.returncode, explained.stderr))
+        self.assertIn("+", explained.stdout)
 
     def test_sheet_over_a_megabyte_is_in_force_everywhere(self):
         large = pathlib.Path(self.folder.name) / "large.csv"
