No co_await in a conditional expression: the daemon's heap broke on explain

Cause (process_Operators, flaky): GCC 12 destroys the temporaries of a conditional expression with co_await twice; explain of a revision with a predecessor did so and corrupted the heap. Ruled out: timeouts under load, stale platform connections.

--- a/modules/service/admin_api.cpp
+++ b/modules/service/admin_api.cpp
@@ -194,7 +194,11 @@
     std::string before;
     if (!record->previous().empty()) {
         const auto previous = co_await read_record("revision", record->previous());
-        const auto previous_sheet = previous ? co_await read_sheet(*previous) : std::nullopt;
+        // No co_await in a conditional expression: GCC 12 destroys its temporaries twice.
+        std::optional<std::string> previous_sheet;
+        if (previous) {
+            previous_sheet = co_await read_sheet(*previous);
+        }
         before = previous_sheet.value_or("");
     }
     json body = record_json(*record);
