--- a/modules/coordination/include/lovageledge/coordination/server_owner.hpp
+++ b/modules/coordination/include/lovageledge/coordination/server_owner.hpp
@@ -50,8 +50,8 @@
     /** Replaces the former holders, when some are drained or gone. */
     void set_former(std::vector<protocol::Holder> former, time_point now);
 
-    /** Stops admission and gives up every right to evict: waiting requests are refused as not run, running ones
-        go on. @param reason for the refusals */
+    /** Stops admission and gives up every right to evict: waiting requests are refused as not run, running
+       ones go on. @param reason for the refusals */
     void stop_admission(const std::string& reason, command_list& out);
     /** Takes admission up again after stop_admission(). */
     void resume_admission();
--- a/modules/coordination/node.cpp
+++ b/modules/coordination/node.cpp
@@ -417,11 +417,10 @@
                     [&](request_table& table) { table.on_ended(from, message.ended(), now, out); });
         break;
     case protocol::Envelope::kCancel:
-        with_owner(server_name{message.cancel().server()}, now, out,
-                   [&](server_owner& owner, const configuration&) {
-                       owner.on_cancel({request_id{message.cancel().request()}, message.cancel().attempt()},
-                                       out);
-                   });
+        with_owner(
+            server_name{message.cancel().server()}, now, out, [&](server_owner& owner, const configuration&) {
+                owner.on_cancel({request_id{message.cancel().request()}, message.cancel().attempt()}, out);
+            });
         break;
     case protocol::Envelope::kCredit:
         with_owner(server_name{message.credit().server()}, now, out,
