One place sends a request on a connection, one sends a cancel to an engine

Both exchanges of http_connection wrote and failed alike; engine_link built the cancel order twice, and an out-parameter of one was never read. Behaviour as before. Ruled out as not worth it: the stand-ins' control answers and the tools' option tables, alike in shape only.

--- a/modules/service/engine_link.cpp
+++ b/modules/service/engine_link.cpp
@@ -346,26 +346,29 @@
         false};
 }
 
-asio::awaitable<bool> engine_link::send_cancel(std::string address, start_id start, attempt_id id,
-                                               bool& is_other_start) {
+asio::awaitable<bool> engine_link::send_cancel(http_connection& connection, attempt_id id) {
     error why;
-    const auto connection = std::make_shared<http_connection>(strand_);
-    if (!co_await connection->open(address, connect_timeout, why)) {
+    bool has_sent = false;
+    const json body{{"request_id", wire_id(id)}};
+    http_request request{http::verb::post, "/v1/cancel", body.dump(), {}};
+    const auto answer = co_await connection.exchange(std::move(request), cancel_timeout, why, has_sent);
+    co_return answer && answer->is_success();
+}
+
+asio::awaitable<bool> engine_link::confirm_not_running(confirm_ended command) {
+    error why;
+    http_connection connection{strand_};
+    if (!co_await connection.open(command.address, connect_timeout, why)) {
         co_return false;
     }
-    const auto status = co_await read_status(*connection, why);
+    const auto status = co_await read_status(connection, why);
     if (!status) {
         co_return false;
     }
-    if (status->start != start) {
-        is_other_start = true;
-        co_return true;
+    if (status->start != command.start) {
+        co_return true; // A restarted engine runs nothing of its former start.
     }
-    bool has_sent = false;
-    const json body{{"request_id", wire_id(id)}};
-    http_request request{http::verb::post, "/v1/cancel", body.dump(), {}};
-    const auto answer = co_await connection->exchange(std::move(request), cancel_timeout, why, has_sent);
-    co_return answer && answer->is_success();
+    co_return co_await send_cancel(connection, command.id);
 }
 
 asio::awaitable<void> engine_link::run_cancel(attempt_id id) {
@@ -383,11 +386,7 @@
     http_connection connection{strand_};
     bool is_cancelled = co_await connection.open(address_, connect_timeout, why);
     if (is_cancelled) {
-        bool has_sent = false;
-        const json body{{"request_id", wire_id(id)}};
-        http_request request{http::verb::post, "/v1/cancel", body.dump(), {}};
-        const auto answer = co_await connection.exchange(std::move(request), cancel_timeout, why, has_sent);
-        is_cancelled = answer && answer->is_success();
+        is_cancelled = co_await send_cancel(connection, id);
     }
     if (!is_cancelled && state->connection) {
         state->connection->close(); // The end is unknown then, and confirmed separately.
@@ -396,8 +395,7 @@
 
 asio::awaitable<void> engine_link::run_confirm(confirm_ended command) {
     while (true) {
-        bool is_other_start = false;
-        if (co_await send_cancel(command.address, command.start, command.id, is_other_start)) {
+        if (co_await confirm_not_running(command)) {
             listeners_.on_released(command.id);
             co_return;
         }
--- a/modules/service/include/lovageledge/service/engine_link.hpp
+++ b/modules/service/include/lovageledge/service/engine_link.hpp
@@ -83,8 +83,9 @@
     asio::awaitable<request_result> stream_answer(const dispatch_request& command,
                                                   const std::shared_ptr<dispatch_state>& state,
                                                   std::uint32_t& tokens);
-    asio::awaitable<bool> send_cancel(std::string address, start_id start, attempt_id id,
-                                      bool& is_other_start);
+    static asio::awaitable<bool> send_cancel(http_connection& connection, attempt_id id);
+    /** @returns true once the engine, on a new connection, has told that it does not run the request */
+    asio::awaitable<bool> confirm_not_running(confirm_ended command);
     asio::awaitable<void> run_cancel(attempt_id id);
     asio::awaitable<void> run_confirm(confirm_ended command);
 
--- a/modules/transport/http_connection.cpp
+++ b/modules/transport/http_connection.cpp
@@ -85,8 +85,8 @@
     return message;
 }
 
-asio::awaitable<std::optional<http_answer>> http_connection::exchange(http_request request, duration timeout,
-                                                                      error& why, bool& has_sent) {
+asio::awaitable<bool> http_connection::send(http_request request, duration timeout, error& why,
+                                            bool& has_sent) {
     const auto message = make_request(std::move(request));
     stream_.expires_after(timeout);
     boost::system::error_code code;
@@ -94,8 +94,16 @@
     co_await http::async_write(stream_, message, asio::redirect_error(asio::use_awaitable, code));
     if (code) {
         fail("http.write", code, why);
+    }
+    co_return !code;
+}
+
+asio::awaitable<std::optional<http_answer>> http_connection::exchange(http_request request, duration timeout,
+                                                                      error& why, bool& has_sent) {
+    if (!co_await send(std::move(request), timeout, why, has_sent)) {
         co_return std::nullopt;
     }
+    boost::system::error_code code;
     http::response_parser<http::string_body> parser;
     parser.body_limit(answer_limit_bytes);
     co_await http::async_read(stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, code));
@@ -115,15 +123,10 @@
 http_connection::exchange_stream(http_request request,
                                  std::function<asio::awaitable<bool>(std::string_view)> on_bytes,
                                  std::function<duration()> next_timeout, error& why, bool& has_sent) {
-    const auto message = make_request(std::move(request));
-    stream_.expires_after(next_timeout());
-    boost::system::error_code code;
-    has_sent = true;
-    co_await http::async_write(stream_, message, asio::redirect_error(asio::use_awaitable, code));
-    if (code) {
-        fail("http.write", code, why);
+    if (!co_await send(std::move(request), next_timeout(), why, has_sent)) {
         co_return std::nullopt;
     }
+    boost::system::error_code code;
     http::response_parser<http::buffer_body> parser;
     parser.body_limit(answer_limit_bytes);
     co_await http::async_read_header(stream_, buffer_, parser,
--- a/modules/transport/include/lovageledge/transport/http_connection.hpp
+++ b/modules/transport/include/lovageledge/transport/http_connection.hpp
@@ -78,6 +78,7 @@
 
 private:
     http::request<http::string_body> make_request(http_request request) const;
+    asio::awaitable<bool> send(http_request request, duration timeout, error& why, bool& has_sent);
     void fail(const char* step, const boost::system::error_code& code, error& why);
 
     beast::tcp_stream stream_;
