--- a/modules/base/include/lovageledge/base/event_log.hpp
+++ b/modules/base/include/lovageledge/base/event_log.hpp
@@ -39,6 +39,16 @@
     fingerprint_suspected = 600,
     fingerprint_quarantined = 601,
     fingerprint_cleared = 602,
+    settings_reloaded = 103,
+    dependency_lost = 120,
+    dependency_regained = 121,
+    backend_listed = 320,
+    backend_dropped = 321,
+    backend_entry_rejected = 322,
+    backend_avoided = 323,
+    order_domain_taken = 330,
+    order_domain_lost = 331,
+    version_announced = 505,
 };
 
 /** Receives one line per event. Called on the thread that decided, under that decision's lock. */
--- /dev/null
+++ b/modules/gateway/gateway.cpp
@@ -0,0 +1,169 @@
+#include "lovageledge/gateway/gateway.hpp"
+
+#include <spdlog/fmt/fmt.h>
+
+namespace lovageledge {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** The balancer asks for readiness once a second and takes an instance out after two misses; new connections
+    come for this long after a stop began. */
+constexpr auto balancer_lag = milliseconds{3500};
+/** What remains of the stop limit for the process to end. */
+constexpr auto exit_reserve = milliseconds{400};
+constexpr auto stop_check_interval = milliseconds{50};
+/** Limits of the readiness and metrics addresses. */
+constexpr std::uint32_t small_header_bytes = 8 * 1024;
+constexpr std::uint32_t small_connections = 64;
+
+http_limits to_http_limits(const caller_limits& limits, std::uint32_t connections) {
+    http_limits result;
+    result.header_bytes = limits.header_bytes;
+    result.body_bytes = limits.body_bytes;
+    result.connections = connections;
+    result.request_timeout = limits.header_timeout;
+    result.idle_timeout = limits.idle_timeout;
+    return result;
+}
+
+http_limits small_limits() {
+    http_limits limits;
+    limits.header_bytes = small_header_bytes;
+    limits.body_bytes = small_header_bytes;
+    limits.connections = small_connections;
+    return limits;
+}
+
+} // namespace
+
+gateway::gateway(asio::io_context& context, gateway_settings settings, wire_codec codec,
+                 platform_port platform)
+    : context_{context}, state_{std::move(settings), std::move(codec), std::move(platform)},
+      desk_{context, state_},
+      caller_server_{context, to_http_limits(caller_limits{}, state_.settings.connections),
+                     [this](http_exchange& exchange) { return serve(exchange); }},
+      readiness_server_{context, small_limits(),
+                        [this](http_exchange& exchange) { return tell_readiness(exchange); }},
+      metrics_server_{context, small_limits(),
+                      [this](http_exchange& exchange) { return tell_metrics(exchange); }} {}
+
+bool gateway::start(error& why) {
+    const auto& settings = state_.settings;
+    const bool has_metrics = !settings.metrics_address.empty();
+    const bool is_listening = desk_.start(why) && caller_server_.listen(settings.caller_address, why) &&
+                              readiness_server_.listen(settings.readiness_address, why) &&
+                              (!has_metrics || metrics_server_.listen(settings.metrics_address, why));
+    if (!is_listening) {
+        return false;
+    }
+    state_.log.write(event::instance_started,
+                     fmt::format("instance={} start={} region={} data_centre={} callers={} peers={}",
+                                 settings.name.text(), settings.start.text(), settings.region.text(),
+                                 settings.data_centre.text(), settings.caller_address, settings.peer_address));
+    return true;
+}
+
+bool gateway::is_ready() const { return state_.routes && has_server_list_ && !state_.is_stopping; }
+
+asio::awaitable<void> gateway::serve(http_exchange& exchange) {
+    if (state_.is_stopping) {
+        exchange.close_after_answer();
+    }
+    const auto flow = std::make_shared<request_flow>(state_, desk_, pool_, exchange);
+    co_await flow->run();
+}
+
+asio::awaitable<void> gateway::tell_readiness(http_exchange& exchange) {
+    const unsigned status = is_ready() ? 200 : 503;
+    co_await exchange.respond(status, status == 200 ? "ready\n" : "not ready\n", "text/plain");
+}
+
+asio::awaitable<void> gateway::tell_metrics(http_exchange& exchange) {
+    co_await exchange.respond(200, state_.counters.text(), "text/plain; version=0.0.4");
+}
+
+void gateway::on_configuration(traffic_configuration configuration) {
+    if (state_.routes && configuration.version <= state_.routes->version()) {
+        return;
+    }
+    state_.routes = std::make_shared<const route_table>(std::move(configuration));
+    caller_server_.set_limits(to_http_limits(state_.routes->limits(), state_.settings.connections));
+    state_.log.write(event::configuration_adopted,
+                     fmt::format("revision={} digest= source=store", state_.routes->version()));
+    desk_.on_servers_changed();
+}
+
+void gateway::on_server(server_listing listing) {
+    const server_name name = listing.name;
+    const bool has_changed = state_.directory.on_listed(std::move(listing), state_.now());
+    const backend* server = state_.directory.find(name);
+    if (has_changed && server != nullptr) {
+        const server_listing& entry = server->listing;
+        state_.log.write(event::backend_listed,
+                         fmt::format("server={} service={} data_centre={} started_at={} leaving={} sequence={}",
+                                     name.text(), entry.service.text(), entry.zone.text(), entry.started_at,
+                                     server->is_leaving, entry.order_sequence));
+    }
+    desk_.on_servers_changed();
+}
+
+void gateway::drop_server(const server_name& name) {
+    pool_.drop(name);
+    state_.log.write(event::backend_dropped, fmt::format("server={}", name.text()));
+}
+
+void gateway::on_server_removed(const server_name& name) {
+    if (state_.directory.on_unlisted(name)) {
+        drop_server(name);
+    }
+}
+
+void gateway::on_server_list(const std::set<server_name>& listed) {
+    has_server_list_ = true;
+    for (const server_name& name : state_.directory.retain(listed)) {
+        drop_server(name);
+    }
+}
+
+void gateway::on_version(const adapter_ref& ref, std::uint64_t version) {
+    if (state_.versions.on_announced(ref, version, state_.now())) {
+        state_.log.write(event::version_announced,
+                         fmt::format("model={} adapter={} version={}", ref.model, ref.adapter, version));
+        desk_.on_servers_changed();
+    }
+}
+
+void gateway::on_rejected_entry(const std::string& entry, const std::string& reason) {
+    state_.log.write(event::backend_entry_rejected, fmt::format("entry={} reason=\"{}\"", entry, reason));
+}
+
+void gateway::stop(std::function<void()> on_stopped) {
+    if (state_.is_stopping) {
+        return;
+    }
+    state_.is_stopping = true;
+    state_.log.write(event::instance_stopping, fmt::format("instance={}", state_.settings.name.text()));
+    desk_.stop();
+    asio::co_spawn(context_, stop_when_idle(std::move(on_stopped)), asio::detached);
+}
+
+asio::awaitable<void> gateway::stop_when_idle(std::function<void()> on_stopped) {
+    const time_point began = state_.now();
+    const time_point limit = began + state_.settings.stop_limit - exit_reserve;
+    asio::steady_timer timer{context_};
+    while (state_.now() < limit) {
+        const bool is_idle = state_.requests_in_progress == 0 && state_.now() - began > balancer_lag;
+        if (is_idle) {
+            break;
+        }
+        timer.expires_after(stop_check_interval);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    state_.log.write(event::instance_stopped, fmt::format("instance={} drained={}", state_.settings.name.text(),
+                                                          state_.requests_in_progress == 0));
+    on_stopped();
+}
+
+} // namespace lovageledge
--- /dev/null
+++ b/modules/gateway/gateway_settings.cpp
@@ -0,0 +1,99 @@
+#include "lovageledge/gateway/gateway_settings.hpp"
+
+#include "lovageledge/service/settings_reader.hpp"
+
+#include <charconv>
+#include <sstream>
+
+namespace lovageledge {
+namespace {
+
+/** The platform writes whole numbers and fractions; shares and factors may be either. */
+void read_fraction(settings_reader& reader, const std::string& section, const std::string& key,
+                   double& target) {
+    const auto value = reader.find(section, key);
+    if (!value) {
+        return;
+    }
+    double parsed = 0.0;
+    const auto [end, problem] = std::from_chars(value->data(), value->data() + value->size(), parsed);
+    if (problem != std::errc{} || end != value->data() + value->size() || parsed < 0.0) {
+        reader.fail(section, key, "a number of 0 or more");
+        return;
+    }
+    target = parsed;
+}
+
+void read_seconds(settings_reader& reader, const std::string& key, duration& target) {
+    double seconds = std::chrono::duration<double>(target).count();
+    read_fraction(reader, "bounds", key, seconds);
+    target = std::chrono::duration_cast<duration>(std::chrono::duration<double>{seconds});
+}
+
+/** Lines of the section have the form DATA_CENTRE = REGION. */
+std::vector<data_centre_name> read_local_data_centres(const std::string& text, const region_name& region,
+                                                      settings_reader& reader) {
+    std::vector<data_centre_name> local;
+    std::istringstream lines{text};
+    std::string section;
+    for (std::string line; std::getline(lines, line);) {
+        if (!line.empty() && line.front() == '[') {
+            section = line.substr(1, line.find(']') - 1);
+            continue;
+        }
+        const std::size_t equals = line.find('=');
+        if (section != "data_centres" || equals == std::string::npos) {
+            continue;
+        }
+        std::string name = line.substr(0, equals);
+        name.erase(name.find_last_not_of(' ') + 1);
+        const auto value = reader.find("data_centres", name);
+        if (value && *value == region.text()) {
+            local.emplace_back(name);
+        }
+    }
+    return local;
+}
+
+} // namespace
+
+std::optional<gateway_settings> parse_gateway_settings(const std::string& text,
+                                                       std::vector<std::string>& errors) {
+    errors.clear();
+    gateway_settings settings;
+    settings_reader reader{text, errors};
+    if (!reader.parse()) {
+        return std::nullopt;
+    }
+    std::string name;
+    std::string data_centre;
+    std::string region;
+    reader.text("instance", "name", name, true);
+    reader.text("instance", "data_centre", data_centre, true);
+    reader.text("instance", "region", region, true);
+    reader.address("instance", "caller_address", settings.caller_address, true);
+    reader.address("instance", "readiness_address", settings.readiness_address, true);
+    reader.address("instance", "peer_address", settings.peer_address, true);
+    reader.address("instance", "metrics_address", settings.metrics_address, false);
+    reader.address("platform", "address", settings.platform_address, true);
+    settings.name = instance_name{name};
+    settings.data_centre = data_centre_name{data_centre};
+    settings.region = region_name{region};
+    settings.local_data_centres = read_local_data_centres(text, settings.region, reader);
+    read_seconds(reader, "stop_limit_s", settings.stop_limit);
+    reader.time_ms("bounds", "drain_limit_ms", settings.drain_limit);
+    reader.time_ms("bounds", "version_limit_ms", settings.version_limit);
+    read_fraction(reader, "bounds", "retry_ratio", settings.retries.ratio);
+    read_fraction(reader, "bounds", "retry_extra", settings.retries.extra);
+    read_seconds(reader, "retry_window_s", settings.retries.window);
+    reader.text("log", "level", settings.log_level);
+    reader.number("limits", "connections", settings.connections, 16, 1'000'000);
+    reader.reject_unknown();
+    if (!errors.empty()) {
+        return std::nullopt;
+    }
+    settings.start = start_id{random_identifier()};
+    return settings;
+}
+
+} // namespace lovageledge
--- /dev/null
+++ b/modules/gateway/gateway_state.cpp
@@ -0,0 +1,21 @@
+#include "lovageledge/gateway/gateway_state.hpp"
+
+#include <algorithm>
+
+namespace lovageledge {
+
+gateway_state::gateway_state(gateway_settings given_settings, wire_codec given_codec,
+                             platform_port given_platform)
+    : settings{std::move(given_settings)}, codec{std::move(given_codec)}, platform{std::move(given_platform)},
+      selector{selector_settings{}, [this](const data_centre_name& name) { return is_local(name); }} {
+    retries.set_allowance(settings.retries);
+    versions.set_grace(settings.version_limit / 2);
+}
+
+bool gateway_state::is_local(const data_centre_name& data_centre) const {
+    const auto& local = settings.local_data_centres;
+    return data_centre == settings.data_centre ||
+           std::find(local.begin(), local.end(), data_centre) != local.end();
+}
+
+} // namespace lovageledge
--- /dev/null
+++ b/modules/gateway/include/lovageledge/gateway/gateway_settings.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "lovageledge/serving/serving.hpp"
+#include "lovageledge/transport/transport.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lovageledge {
+
+/** All settings of a gateway process. docs/PLATFORM.md lists them. */
+struct gateway_settings {
+    instance_name name;
+    start_id start;
+    data_centre_name data_centre;
+    region_name region;
+    /** Data centres of the same region, this one included. */
+    std::vector<data_centre_name> local_data_centres;
+    std::string caller_address;
+    std::string readiness_address;
+    std::string peer_address;
+    std::string metrics_address;
+    std::string platform_address;
+    std::string log_level = "info";
+    /** Time from a stop signal until the process is killed. */
+    duration stop_limit = std::chrono::seconds{8};
+    /** Bound on the use of a leaving server. */
+    duration drain_limit = std::chrono::milliseconds{2500};
+    /** Bound on the use of an older version of an adapter. */
+    duration version_limit = std::chrono::milliseconds{5000};
+    retry_allowance retries;
+    std::uint64_t memory_bytes = std::uint64_t{256} * 1024 * 1024;
+    std::uint32_t connections = 3000;
+};
+
+/** Reads an INI text. @param errors receives a line for each fault, with line and field
+    @returns the settings, or nothing if there are faults. Thread-safe. */
+std::optional<gateway_settings> parse_gateway_settings(const std::string& text,
+                                                       std::vector<std::string>& errors);
+
+} // namespace lovageledge
--- /dev/null
+++ b/modules/gateway/include/lovageledge/gateway/gateway_state.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "lovageledge/coordination/quarantine.hpp"
+#include "lovageledge/gateway/gateway_settings.hpp"
+#include "lovageledge/gateway/wire_codec.hpp"
+#include "lovageledge/service/decision_log.hpp"
+#include "lovageledge/service/metrics.hpp"
+
+#include <memory>
+
+namespace lovageledge {
+
+/**
+    What the parts of one gateway share: beliefs about the outside, the policies that read them, and the means
+    to tell of decisions. Used on the gateway's one thread.
+*/
+struct gateway_state {
+    gateway_state(gateway_settings given_settings, wire_codec given_codec, platform_port given_platform);
+
+    bool is_local(const data_centre_name& data_centre) const;
+    time_point now() const { return clock.now(); }
+
+    gateway_settings settings;
+    wire_codec codec;
+    platform_port platform;
+    runtime_clock clock;
+    decision_log log{0};
+    metrics counters;
+
+    backend_directory directory;
+    /** Nothing until the first configuration has come. */
+    std::shared_ptr<const route_table> routes;
+    version_book versions;
+    server_selector selector;
+    retry_budget retries;
+    /** Set from the stop signal on: no new connections are wanted. */
+    bool is_stopping = false;
+    std::uint32_t requests_in_progress = 0;
+};
+
+} // namespace lovageledge
--- /dev/null
+++ b/modules/gateway/include/lovageledge/gateway/order_desk.hpp
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "lovageledge/gateway/gateway_state.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace lovageledge {
+
+/**
+    Orders to backend servers, and the messages between gateways that they need.
+
+    Each data centre's servers take their orders from one gateway, the holder of the order domain. Who holds it
+    stands in the platform's store as a conditional update with a fencing token; nothing has to be renewed. The
+    gateways of a data centre hear each other's state several times a second; if the holder's stops, another
+    takes the domain over, and servers refuse the former holder's token.
+    Used on the gateway's one thread.
+*/
+class order_desk {
+public:
+    order_desk(asio::io_context& context, gateway_state& state);
+    order_desk(const order_desk&) = delete;
+    order_desk& operator=(const order_desk&) = delete;
+    ~order_desk() = default;
+
+    /** Listens for peers and starts the timed work. @returns false with the reason if it can't listen */
+    bool start(error& why);
+    /** Hands the order domain back, before a planned stop. */
+    void stop();
+
+    /** Takes a record of the system's own from the store. */
+    void on_record(const stored_record& record);
+    void on_record_removed(const std::string& name);
+    /** All records were read for the first time: missing ones may be written now. */
+    void on_records_complete();
+
+    /** Asks for weights on a server; the holder of its orders loads them if it can. */
+    void want(const server_name& server, const adapter_ref& ref);
+    /** A request was sent to a server that holds its weights. */
+    void note_use(const server_name& server, const adapter_ref& ref);
+    /** Waits until a server holds the weights, or a time has passed. @returns true if they are held */
+    asio::awaitable<bool> wait_for(server_name server, adapter_ref ref, duration limit);
+    /** Something about the servers changed: orders may be due. */
+    void on_servers_changed();
+
+    /** @returns gateways that are known, this one included */
+    std::size_t instances() const { return peers_.size() + 1; }
+
+private:
+    struct peer {
+        std::string start;
+        std::string address;
+        data_centre_name data_centre;
+        time_point last_heard{};
+        bool is_connected = false;
+        bool is_stopping = false;
+        std::uint64_t revision = 0;
+    };
+    struct order_domain {
+        instance_name holder;
+        std::string start;
+        std::uint64_t fence = 0;
+        std::uint64_t revision = 0;
+        /** When the holder was first found missing. */
+        std::optional<time_point> missing_since;
+    };
+    struct load_waiter {
+        adapter_ref ref;
+        std::shared_ptr<asio::steady_timer> timer;
+    };
+
+    asio::awaitable<void> register_self();
+    asio::awaitable<void> state_loop();
+    asio::awaitable<void> plan_loop();
+    asio::awaitable<void> take_domain(std::string holder);
+    asio::awaitable<void> give_order(weights_order order, std::string address);
+    asio::awaitable<void> read_server(server_name server, std::string address);
+    void plan_now();
+    void check_domain();
+    bool holds_domain() const;
+    bool is_holder_alive() const;
+    void apply_domain(const std::string& json, std::uint64_t revision);
+    void publish_weights(const backend& server);
+    void wake_waiters(const server_name& server);
+
+    void on_message(const protocol::Envelope& message);
+    void on_peer_state(const std::string& from, const protocol::GatewayState& state);
+    void on_peer_wants(const protocol::WeightsWanted& message);
+    void on_peer_weights(const protocol::WeightsHeld& message);
+    void send(const instance_name& to, protocol::Envelope& message);
+    void send_to_data_centre(protocol::Envelope& message);
+    void connect(const instance_name& name, peer& entry);
+    protocol::GatewayState current_state();
+    void log_order(const weights_order& order, const order_result& result);
+
+    asio::io_context& context_;
+    gateway_state& state_;
+    peer_socket socket_;
+    adapter_planner planner_;
+    std::map<instance_name, peer> peers_;
+    order_domain domain_;
+    /** Holders of the other data centres' domains. */
+    std::map<data_centre_name, instance_name> remote_holders_;
+    /** Gateways of other data centres that last wanted weights on a server. */
+    std::map<server_name, instance_name> remote_requesters_;
+    std::map<std::string, std::uint64_t> record_revisions_;
+    std::multimap<server_name, load_waiter> waiters_;
+    /** Adapters that were used since the last state message. */
+    std::map<server_name, std::set<adapter_ref>> recently_used_;
+    asio::steady_timer plan_timer_;
+    time_point started_{};
+    time_point last_tick_{};
+    bool are_records_complete_ = false;
+    bool is_taking_ = false;
+    bool is_stopped_ = false;
+};
+
+} // namespace lovageledge
--- /dev/null
+++ b/modules/gateway/include/lovageledge/gateway/request_flow.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "lovageledge/gateway/connection_pool.hpp"
+#include "lovageledge/gateway/gateway_state.hpp"
+#include "lovageledge/gateway/order_desk.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace lovageledge {
+
+/**
+    The way of one request: its route, its server, the attempts, and the answer.
+
+    Every attempt ends in one of these: answered, not run, or unknown. What was not run may go to another server;
+    what may have run goes on only if its route is idempotent. Used on the gateway's one thread.
+*/
+class request_flow : public std::enable_shared_from_this<request_flow> {
+public:
+    request_flow(gateway_state& state, order_desk& desk, connection_pool& pool, http_exchange& exchange);
+
+    /** Serves the request. The exchange has an answer afterwards, or is aborted. */
+    asio::awaitable<void> run();
+
+private:
+    enum class attempt_end {
+        /** The caller has the answer, or is gone. */
+        finished,
+        /** The server states that it did not run the request. */
+        not_run,
+        /** Nothing was sent to the server. */
+        not_sent,
+        /** It may have run, and the caller has nothing of it yet. */
+        unknown,
+        /** It may have run; the caller has a part of the stream. */
+        broken_off,
+        /** The server's own failure, which the caller may get if nobody does better. */
+        failed,
+    };
+
+    bool has_clear_framing() const;
+    bool prepare();
+    asio::awaitable<void> serve_attempts();
+    asio::awaitable<std::optional<server_choice>> find_server();
+    asio::awaitable<attempt_end> attempt(const server_choice& choice);
+    asio::awaitable<attempt_end> converse(backend& server, std::shared_ptr<forwarding_connection> connection);
+    asio::awaitable<std::shared_ptr<forwarding_connection>> connect(const backend& server);
+    asio::awaitable<std::optional<answer_head>>
+    read_own_head(const std::shared_ptr<forwarding_connection>& connection, time_point limit,
+                  answer_facts& facts);
+    asio::awaitable<attempt_end> forward_whole(const std::shared_ptr<forwarding_connection>& connection,
+                                               answer_head head);
+    asio::awaitable<attempt_end> forward_stream(const std::shared_ptr<forwarding_connection>& connection,
+                                                answer_head head);
+    asio::awaitable<attempt_end> on_stream_broken();
+    attempt_end on_refused(const server_name& server, const answer_head& head, const answer_facts& facts);
+
+    std::string make_head(const backend& server) const;
+    std::vector<http_header> forwarded_headers(const answer_head& head) const;
+    bool may_repeat(attempt_end end, const server_choice& last);
+    bool has_time_left() const { return state_.now() < deadline_ && !is_caller_gone_; }
+    void on_caller_gone();
+    void set_first_byte_seen();
+    void log_routed(const server_choice& choice) const;
+    asio::awaitable<void> finish_unserved(attempt_end end);
+    asio::awaitable<void> refuse(unsigned status, std::string_view reason,
+                                 std::optional<duration> retry_after);
+    void log_finished(unsigned status, std::string_view outcome);
+
+    gateway_state& state_;
+    order_desk& desk_;
+    connection_pool& pool_;
+    http_exchange& exchange_;
+    std::shared_ptr<const route_table> routes_;
+    const route_rule* route_ = nullptr;
+    request_facts facts_;
+    work_item work_;
+    std::string path_;
+    time_point started_{};
+    time_point deadline_{};
+    std::uint32_t attempts_ = 0;
+    /** Servers that may have run the request. */
+    std::uint32_t runs_ = 0;
+    /** Prompt tokens that count as pending at the present server. */
+    std::uint32_t pending_tokens_ = 0;
+    server_name present_server_;
+    std::shared_ptr<forwarding_connection> connection_;
+    event_framer framer_;
+    std::optional<std::string> resume_after_;
+    bool has_stream_begun_ = false;
+    bool is_caller_gone_ = false;
+    std::optional<answer_head> failed_head_;
+    std::string failed_body_;
+    std::string last_problem_;
+};
+
+} // namespace lovageledge
--- /dev/null
+++ b/modules/gateway/order_desk.cpp
@@ -0,0 +1,581 @@
+#include "lovageledge/gateway/order_desk.hpp"
+
+#include <algorithm>
+#include <spdlog/fmt/fmt.h>
+#include <spdlog/spdlog.h>
+
+namespace lovageledge {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Pause between state messages; a quarter of the time after which a holder counts as gone. */
+constexpr auto state_interval = milliseconds{300};
+/** A holder that is not heard for this long is replaced. */
+constexpr auto holder_silence = milliseconds{1500};
+/** After its own pause an instance waits this long before it judges others. */
+constexpr auto own_pause = milliseconds{700};
+/** Pause between looks for due orders while loads are on their way, and while nothing is. */
+constexpr auto busy_plan_interval = milliseconds{15};
+constexpr auto idle_plan_interval = milliseconds{150};
+/** Pause after a failed write of a record. */
+constexpr auto write_pause = milliseconds{700};
+/** Each further candidate waits this much longer, so that one of them writes first. */
+constexpr auto candidate_stagger = milliseconds{250};
+
+const std::string gateway_prefix = "gateway.";
+const std::string domain_prefix = "orders.";
+
+protocol::WeightsRef to_message(const adapter_ref& ref, std::uint64_t version) {
+    protocol::WeightsRef message;
+    message.set_model(ref.model);
+    message.set_adapter(ref.adapter);
+    message.set_version(version);
+    return message;
+}
+
+adapter_ref to_ref(const protocol::WeightsRef& message) { return {message.model(), message.adapter()}; }
+
+const char* outcome_name(order_outcome outcome) {
+    switch (outcome) {
+    case order_outcome::accepted:
+        return "accepted";
+    case order_outcome::holds:
+        return "holds";
+    case order_outcome::conflict:
+        return "conflict";
+    case order_outcome::fenced:
+        return "fenced";
+    case order_outcome::refused:
+        return "refused";
+    case order_outcome::unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+order_desk::order_desk(asio::io_context& context, gateway_state& state)
+    : context_{context}, state_{state},
+      socket_{[this](const protocol::Envelope& message) {
+                  asio::post(context_, [this, message] { on_message(message); });
+              },
+              [](const error& why) { spdlog::warn("{}", why.text()); }},
+      planner_{planner_settings{}}, plan_timer_{context} {
+    planner_.set_usage([](const backend& server, const adapter_ref& ref) {
+        return server.adapters_in_use.contains(ref) || server.peers_use(ref);
+    });
+}
+
+bool order_desk::start(error& why) {
+    started_ = state_.now();
+    last_tick_ = started_;
+    if (!socket_.listen(state_.settings.peer_address, why)) {
+        return false;
+    }
+    asio::co_spawn(context_, state_loop(), asio::detached);
+    asio::co_spawn(context_, plan_loop(), asio::detached);
+    return true;
+}
+
+void order_desk::stop() {
+    is_stopped_ = true;
+    protocol::Envelope message;
+    *message.mutable_gateway_state() = current_state();
+    send_to_data_centre(message);
+    if (holds_domain()) {
+        asio::co_spawn(context_, take_domain(""), asio::detached);
+    }
+}
+
+bool order_desk::holds_domain() const {
+    return domain_.holder == state_.settings.name && domain_.start == state_.settings.start.text();
+}
+
+// Records in the platform's store.
+
+void order_desk::on_records_complete() {
+    are_records_complete_ = true;
+    asio::co_spawn(context_, register_self(), asio::detached);
+    check_domain();
+}
+
+asio::awaitable<void> order_desk::register_self() {
+    protocol::GatewayRecord record;
+    record.set_instance(state_.settings.name.text());
+    record.set_start(state_.settings.start.text());
+    record.set_peer_address(state_.settings.peer_address);
+    record.set_data_centre(state_.settings.data_centre.text());
+    const std::string name = gateway_prefix + state_.settings.name.text();
+    asio::steady_timer timer{context_};
+    while (!is_stopped_) {
+        const auto known = record_revisions_.find(name);
+        std::optional<std::uint64_t> expected;
+        if (known != record_revisions_.end()) {
+            expected = known->second;
+        }
+        const write_result result = co_await state_.platform.write_record(name, to_json(record), expected);
+        if (result.record) {
+            record_revisions_[name] = result.record->revision;
+        }
+        if (result.outcome == write_outcome::done) {
+            co_return;
+        }
+        timer.expires_after(write_pause);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+void order_desk::on_record(const stored_record& record) {
+    record_revisions_[record.name] = record.revision;
+    if (record.name.rfind(domain_prefix, 0) == 0) {
+        apply_domain(record.json, record.revision);
+        return;
+    }
+    protocol::GatewayRecord gateway;
+    const bool is_gateway = record.name.rfind(gateway_prefix, 0) == 0 && from_json(record.json, gateway);
+    if (!is_gateway || gateway.instance() == state_.settings.name.text()) {
+        return;
+    }
+    const instance_name name{gateway.instance()};
+    peer& entry = peers_[name];
+    const bool is_new = entry.address != gateway.peer_address();
+    entry.start = gateway.start();
+    entry.address = gateway.peer_address();
+    entry.data_centre = data_centre_name{gateway.data_centre()};
+    entry.revision = record.revision;
+    if (is_new) {
+        entry.is_connected = false;
+    }
+    if (entry.data_centre == state_.settings.data_centre) {
+        connect(name, entry);
+    }
+    state_.retries.set_instances(instances());
+}
+
+void order_desk::on_record_removed(const std::string& name) {
+    record_revisions_.erase(name);
+    if (name.rfind(gateway_prefix, 0) == 0) {
+        peers_.erase(instance_name{name.substr(gateway_prefix.size())});
+        state_.retries.set_instances(instances());
+    }
+    if (name == domain_prefix + state_.settings.data_centre.text()) {
+        domain_ = {};
+    }
+}
+
+void order_desk::apply_domain(const std::string& json, std::uint64_t revision) {
+    protocol::OrderDomainRecord record;
+    if (!from_json(json, record)) {
+        spdlog::warn("order domain record of revision {} can't be read", revision);
+        return;
+    }
+    const data_centre_name data_centre{record.data_centre()};
+    if (data_centre != state_.settings.data_centre) {
+        remote_holders_[data_centre] = instance_name{record.holder()};
+        return;
+    }
+    if (revision < domain_.revision) {
+        return;
+    }
+    const bool did_hold = holds_domain();
+    domain_ = {instance_name{record.holder()}, record.start(), record.fence(), revision, std::nullopt};
+    if (holds_domain() && !did_hold) {
+        planner_.reset();
+        state_.log.write(event::order_domain_taken,
+                         fmt::format("data_centre={} fence={}", data_centre.text(), domain_.fence));
+        on_servers_changed();
+    } else if (did_hold && !holds_domain()) {
+        state_.log.write(event::order_domain_lost,
+                         fmt::format("data_centre={} fence={} holder={}", data_centre.text(), domain_.fence,
+                                     domain_.holder.text()));
+    }
+    check_domain();
+}
+
+bool order_desk::is_holder_alive() const {
+    if (domain_.holder.is_empty()) {
+        return false;
+    }
+    if (domain_.holder == state_.settings.name) {
+        return holds_domain();
+    }
+    const auto holder = peers_.find(domain_.holder);
+    const bool is_known_start = holder != peers_.end() && holder->second.start == domain_.start;
+    if (!is_known_start || holder->second.is_stopping) {
+        return false;
+    }
+    const time_point heard = std::max(holder->second.last_heard, started_);
+    return state_.now() - heard < holder_silence;
+}
+
+void order_desk::check_domain() {
+    if (!are_records_complete_ || is_stopped_ || is_taking_ || is_holder_alive()) {
+        domain_.missing_since.reset();
+        return;
+    }
+    const time_point now = state_.now();
+    if (!domain_.missing_since) {
+        domain_.missing_since = now;
+    }
+    std::size_t rank = 0;
+    const std::string key = state_.settings.data_centre.text();
+    const std::uint64_t own_weight = rendezvous_weight(key, state_.settings.name.text());
+    for (const auto& [name, entry] : peers_) {
+        const bool is_candidate = entry.data_centre == state_.settings.data_centre && !entry.is_stopping &&
+                                  now - entry.last_heard < holder_silence;
+        rank += is_candidate && rendezvous_weight(key, name.text()) > own_weight ? 1 : 0;
+    }
+    // A holder that is not known at all may just have started.
+    const bool is_unknown = !domain_.holder.is_empty() && domain_.holder != state_.settings.name &&
+                            !peers_.contains(domain_.holder);
+    const duration patience = candidate_stagger * rank + (is_unknown ? holder_silence : milliseconds{0});
+    if (now - *domain_.missing_since >= patience) {
+        is_taking_ = true;
+        asio::co_spawn(context_, take_domain(state_.settings.name.text()), asio::detached);
+    }
+}
+
+asio::awaitable<void> order_desk::take_domain(std::string holder) {
+    protocol::OrderDomainRecord record;
+    record.set_data_centre(state_.settings.data_centre.text());
+    record.set_holder(holder);
+    record.set_start(state_.settings.start.text());
+    record.set_fence(domain_.fence + 1);
+    std::optional<std::uint64_t> expected;
+    if (domain_.revision != 0) {
+        expected = domain_.revision;
+    }
+    const std::string name = domain_prefix + state_.settings.data_centre.text();
+    const write_result result = co_await state_.platform.write_record(name, to_json(record), expected);
+    if (result.record) {
+        apply_domain(result.record->json, result.record->revision);
+    }
+    if (result.outcome != write_outcome::done && !is_stopped_) {
+        asio::steady_timer timer{context_, write_pause};
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    is_taking_ = false;
+}
+
+// Messages between gateways.
+
+void order_desk::connect(const instance_name& name, peer& entry) {
+    if (!entry.is_connected && !entry.address.empty()) {
+        socket_.connect(name, entry.address);
+        entry.is_connected = true;
+    }
+}
+
+void order_desk::send(const instance_name& to, protocol::Envelope& message) {
+    const auto entry = peers_.find(to);
+    if (entry == peers_.end()) {
+        return;
+    }
+    connect(to, entry->second);
+    message.set_protocol_version(peer_protocol_version);
+    message.set_from(state_.settings.name.text());
+    message.set_from_start(state_.settings.start.text());
+    socket_.send(to, message);
+}
+
+void order_desk::send_to_data_centre(protocol::Envelope& message) {
+    for (const auto& [name, entry] : peers_) {
+        if (entry.data_centre == state_.settings.data_centre) {
+            send(name, message);
+        }
+    }
+}
+
+protocol::GatewayState order_desk::current_state() {
+    protocol::GatewayState message;
+    message.set_data_centre(state_.settings.data_centre.text());
+    message.set_stopping(is_stopped_);
+    for (const auto& [name, server] : state_.directory.servers()) {
+        const auto used = recently_used_.find(name);
+        const bool is_idle = server.in_flight == 0 && used == recently_used_.end();
+        if (is_idle) {
+            continue;
+        }
+        protocol::ServerWork& work = *message.add_work();
+        work.set_server(name.text());
+        work.set_in_flight(server.in_flight);
+        work.set_pending_tokens(server.pending_tokens);
+        for (const auto& [ref, count] : server.adapters_in_use) {
+            *work.add_in_use() = to_message(ref, 0);
+        }
+        if (used != recently_used_.end()) {
+            for (const adapter_ref& ref : used->second) {
+                *work.add_recently_used() = to_message(ref, 0);
+            }
+        }
+    }
+    recently_used_.clear();
+    return message;
+}
+
+asio::awaitable<void> order_desk::state_loop() {
+    asio::steady_timer timer{context_};
+    while (true) {
+        const time_point now = state_.now();
+        if (now - last_tick_ > own_pause) {
+            started_ = now; // This process stood still: what it did not hear says nothing of the others.
+        }
+        last_tick_ = now;
+        protocol::Envelope message;
+        *message.mutable_gateway_state() = current_state();
+        send_to_data_centre(message);
+        check_domain();
+        timer.expires_after(state_interval);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+void order_desk::on_message(const protocol::Envelope& message) {
+    const auto entry = peers_.find(instance_name{message.from()});
+    if (entry != peers_.end()) {
+        entry->second.last_heard = state_.now();
+        entry->second.start = message.from_start();
+    }
+    if (message.has_gateway_state()) {
+        on_peer_state(message.from(), message.gateway_state());
+    } else if (message.has_weights_wanted()) {
+        on_peer_wants(message.weights_wanted());
+        const auto* server = state_.directory.find(server_name{message.weights_wanted().server()});
+        if (server != nullptr && entry != peers_.end() &&
+            entry->second.data_centre != state_.settings.data_centre) {
+            remote_requesters_[server->listing.name] = entry->first;
+        }
+    } else if (message.has_weights_held()) {
+        on_peer_weights(message.weights_held());
+    }
+}
+
+void order_desk::on_peer_state(const std::string& from, const protocol::GatewayState& state) {
+    const instance_name name{from};
+    const auto entry = peers_.find(name);
+    if (entry != peers_.end()) {
+        entry->second.is_stopping = state.stopping();
+    }
+    const time_point now = state_.now();
+    state_.directory.clear_peer_work(name);
+    for (const protocol::ServerWork& work : state.work()) {
+        backend* server = state_.directory.find(server_name{work.server()});
+        if (server == nullptr) {
+            continue;
+        }
+        peer_server_work& told = server->peer_work[name];
+        told.in_flight = work.in_flight();
+        told.pending_tokens = work.pending_tokens();
+        for (const auto& ref : work.in_use()) {
+            told.in_use.insert(to_ref(ref));
+            planner_.on_used(server->listing.name, to_ref(ref), now);
+        }
+        for (const auto& ref : work.recently_used()) {
+            planner_.on_used(server->listing.name, to_ref(ref), now);
+        }
+    }
+    if (state.stopping()) {
+        check_domain();
+    }
+}
+
+void order_desk::on_peer_wants(const protocol::WeightsWanted& message) {
+    const backend* server = state_.directory.find(server_name{message.server()});
+    const bool is_current = server != nullptr && server->listing.started_at == message.started_at();
+    if (!is_current || !holds_domain() || is_stopped_) {
+        return;
+    }
+    planner_.on_wanted(server->listing.name, to_ref(message.weights()), state_.now());
+    if (server->listing.weights.version_of(to_ref(message.weights()))) {
+        publish_weights(*server);
+    }
+    plan_now();
+}
+
+void order_desk::on_peer_weights(const protocol::WeightsHeld& message) {
+    held_weights weights;
+    for (const auto& ref : message.weights()) {
+        if (ref.adapter().empty()) {
+            weights.models[ref.model()] = ref.version();
+        } else {
+            weights.adapters[to_ref(ref)] = ref.version();
+        }
+    }
+    const server_name server{message.server()};
+    if (state_.directory.on_weights(server, message.started_at(), message.sequence(), std::move(weights))) {
+        wake_waiters(server);
+    }
+}
+
+void order_desk::publish_weights(const backend& server) {
+    protocol::Envelope message;
+    protocol::WeightsHeld& held = *message.mutable_weights_held();
+    held.set_server(server.listing.name.text());
+    held.set_started_at(server.listing.started_at);
+    held.set_sequence(server.listing.order_sequence);
+    for (const auto& [model, version] : server.listing.weights.models) {
+        *held.add_weights() = to_message({model, ""}, version);
+    }
+    for (const auto& [ref, version] : server.listing.weights.adapters) {
+        *held.add_weights() = to_message(ref, version);
+    }
+    send_to_data_centre(message);
+    const auto requester = remote_requesters_.find(server.listing.name);
+    if (requester != remote_requesters_.end()) {
+        send(requester->second, message);
+    }
+    wake_waiters(server.listing.name);
+}
+
+// What requests ask for.
+
+void order_desk::want(const server_name& name, const adapter_ref& ref) {
+    const backend* server = state_.directory.find(name);
+    if (server == nullptr) {
+        return;
+    }
+    const bool is_ours = server->listing.zone == state_.settings.data_centre;
+    if (is_ours && holds_domain()) {
+        planner_.on_wanted(name, ref, state_.now());
+        plan_now();
+        return;
+    }
+    instance_name holder = domain_.holder;
+    if (!is_ours) {
+        holder = remote_holders_[server->listing.zone];
+    }
+    protocol::Envelope message;
+    protocol::WeightsWanted& wanted = *message.mutable_weights_wanted();
+    wanted.set_server(name.text());
+    wanted.set_started_at(server->listing.started_at);
+    *wanted.mutable_weights() = to_message(ref, 0);
+    send(holder, message);
+}
+
+void order_desk::note_use(const server_name& server, const adapter_ref& ref) {
+    if (ref.is_base()) {
+        return;
+    }
+    recently_used_[server].insert(ref);
+    planner_.on_used(server, ref, state_.now());
+}
+
+asio::awaitable<bool> order_desk::wait_for(server_name server, adapter_ref ref, duration limit) {
+    auto timer = std::make_shared<asio::steady_timer>(context_, limit);
+    const auto waiter = waiters_.emplace(server, load_waiter{ref, timer});
+    boost::system::error_code code;
+    co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, code));
+    waiters_.erase(waiter);
+    co_return code == asio::error::operation_aborted;
+}
+
+void order_desk::wake_waiters(const server_name& name) {
+    const backend* server = state_.directory.find(name);
+    const auto [begin, end] = waiters_.equal_range(name);
+    for (auto waiter = begin; waiter != end; ++waiter) {
+        if (server == nullptr || server->listing.weights.version_of(waiter->second.ref)) {
+            waiter->second.timer->cancel();
+        }
+    }
+}
+
+// Orders.
+
+void order_desk::on_servers_changed() {
+    std::set<server_name> waiting;
+    for (const auto& [name, waiter] : waiters_) {
+        waiting.insert(name);
+    }
+    for (const server_name& name : waiting) {
+        wake_waiters(name);
+    }
+    plan_now();
+}
+
+asio::awaitable<void> order_desk::plan_loop() {
+    while (true) {
+        plan_now();
+        plan_timer_.expires_after(planner_.is_busy() ? duration{busy_plan_interval}
+                                                     : duration{idle_plan_interval});
+        boost::system::error_code ignored;
+        co_await plan_timer_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+void order_desk::plan_now() {
+    if (!holds_domain() || is_stopped_ || !state_.routes) {
+        return;
+    }
+    const auto is_ours = [this](const backend& server) {
+        return server.listing.zone == state_.settings.data_centre;
+    };
+    auto orders =
+        planner_.next_orders(state_.directory, *state_.routes, state_.versions, is_ours, state_.now());
+    for (weights_order& order : orders) {
+        const backend* server = state_.directory.find(order.server);
+        const std::string address = server->listing.address;
+        asio::co_spawn(context_, give_order(std::move(order), address), asio::detached);
+    }
+}
+
+asio::awaitable<void> order_desk::give_order(weights_order order, std::string address) {
+    const order_authority authority{state_.settings.name, domain_.fence};
+    const order_result result = co_await state_.platform.send_order(order, address, authority);
+    log_order(order, result);
+    if (result.outcome == order_outcome::fenced && holds_domain()) {
+        // Another holder's token was seen there: this one is out of date, whatever the store has told so far.
+        domain_.start.clear();
+    }
+    const bool should_read =
+        planner_.on_outcome(state_.directory, order, result.outcome, state_.now());
+    const backend* server = state_.directory.find(order.server);
+    if (server != nullptr) {
+        const bool has_changed = order.operation == order_operation::unload ||
+                                 result.outcome == order_outcome::holds;
+        if (has_changed && !should_read) {
+            publish_weights(*server);
+        }
+        if (should_read) {
+            co_await read_server(order.server, address);
+        }
+    }
+    plan_now();
+    if (planner_.is_busy()) {
+        plan_timer_.cancel();
+    }
+}
+
+asio::awaitable<void> order_desk::read_server(server_name name, std::string address) {
+    const auto report = co_await state_.platform.read_weights(address);
+    const backend* server = state_.directory.find(name);
+    const bool is_same_start = report && server != nullptr && server->listing.started_at == report->started_at;
+    if (!is_same_start) {
+        co_return;
+    }
+    planner_.on_report(state_.directory, name, report->started_at, report->order_sequence, report->weights,
+                       report->coming, state_.now());
+    publish_weights(*server);
+}
+
+void order_desk::log_order(const weights_order& order, const order_result& result) {
+    const bool is_load = order.operation == order_operation::load;
+    const bool is_check = !order.expected_sequence;
+    if (is_check && result.outcome == order_outcome::accepted) {
+        return;
+    }
+    state_.counters.count(fmt::format("orders_total{{operation=\"{}\",outcome=\"{}\"}}",
+                                      is_load ? "load" : "unload", outcome_name(result.outcome)));
+    state_.log.write(is_load ? event::adapter_load_ordered : event::adapter_evict_ordered,
+                     fmt::format("server={} model={} adapter={} version={} sequence={} fence={} check={} outcome={} "
+                                 "detail=\"{}\"",
+                                 order.server.text(), order.weights.model, order.weights.adapter,
+                                 order.version.value_or(0), order.expected_sequence.value_or(0), domain_.fence,
+                                 is_check, outcome_name(result.outcome), result.detail));
+}
+
+} // namespace lovageledge
--- a/modules/service/decision_log.cpp
+++ b/modules/service/decision_log.cpp
@@ -3,12 +3,6 @@
 #include <spdlog/spdlog.h>
 
 namespace lovageledge {
-namespace {
-
-constexpr std::size_t remembered_lines = 20'000;
-
-} // namespace
-
 std::string event_name(event number) {
     switch (number) {
     case event::instance_started:
@@ -73,6 +67,26 @@
         return "fingerprint_quarantined";
     case event::fingerprint_cleared:
         return "fingerprint_cleared";
+    case event::settings_reloaded:
+        return "settings_reloaded";
+    case event::dependency_lost:
+        return "dependency_lost";
+    case event::dependency_regained:
+        return "dependency_regained";
+    case event::backend_listed:
+        return "backend_listed";
+    case event::backend_dropped:
+        return "backend_dropped";
+    case event::backend_entry_rejected:
+        return "backend_entry_rejected";
+    case event::backend_avoided:
+        return "backend_avoided";
+    case event::order_domain_taken:
+        return "order_domain_taken";
+    case event::order_domain_lost:
+        return "order_domain_lost";
+    case event::version_announced:
+        return "version_announced";
     }
     return "unknown";
 }
@@ -80,9 +94,12 @@
 void decision_log::write(event number, std::string_view text) {
     std::string line = fmt::format("event={} {} {}", static_cast<int>(number), event_name(number), text);
     spdlog::info(line);
+    if (remembered_ == 0) {
+        return;
+    }
     const std::scoped_lock lock{mutex_};
     lines_.push_back(std::move(line));
-    if (lines_.size() > remembered_lines) {
+    if (lines_.size() > remembered_) {
         lines_.pop_front();
     }
 }
--- a/modules/service/include/lovageledge/service/decision_log.hpp
+++ b/modules/service/include/lovageledge/service/decision_log.hpp
@@ -16,7 +16,8 @@
     Thread-safe. */
 class decision_log {
 public:
-    decision_log() = default;
+    /** @param remembered lines that find() can return */
+    explicit decision_log(std::size_t remembered = 20'000) : remembered_{remembered} {}
     decision_log(const decision_log&) = delete;
     decision_log& operator=(const decision_log&) = delete;
     ~decision_log() = default;
@@ -27,6 +28,7 @@
     std::vector<std::string> find(const std::string& text) const;
 
 private:
+    std::size_t remembered_;
     mutable std::mutex mutex_;
     std::deque<std::string> lines_;
 };
--- /dev/null
+++ b/modules/serving/adapter_planner.cpp
@@ -0,0 +1,270 @@
+#include "lovageledge/serving/adapter_planner.hpp"
+
+#include <algorithm>
+
+namespace lovageledge {
+namespace {
+
+/** Pause after a server refused an order, so that a refusal is not answered by the same order at once. */
+constexpr auto refused_pause = std::chrono::milliseconds{300};
+/** A load that is not there after this long is ordered again. */
+constexpr auto load_limit = std::chrono::seconds{4};
+/** Pause before the same server is told again to load a base model. */
+constexpr auto model_load_limit = std::chrono::seconds{8};
+
+} // namespace
+
+bool adapter_planner::is_busy() const {
+    return std::any_of(servers_.begin(), servers_.end(), [](const auto& entry) {
+        return !entry.second.coming.empty() || !entry.second.wants.empty();
+    });
+}
+
+void adapter_planner::on_wanted(const server_name& server, const adapter_ref& ref, time_point now) {
+    server_plan& plan = servers_[server];
+    plan.wants[ref] = now;
+    plan.last_used[ref] = now;
+}
+
+void adapter_planner::on_used(const server_name& server, const adapter_ref& ref, time_point now) {
+    servers_[server].last_used[ref] = now;
+}
+
+std::vector<weights_order> adapter_planner::next_orders(const backend_directory& directory,
+                                                        const route_table& routes,
+                                                        const version_book& versions,
+                                                        const std::function<bool(const backend&)>& is_ours,
+                                                        time_point now) {
+    std::vector<weights_order> orders;
+    for (const auto& [name, server] : directory.servers()) {
+        const service_rule* service = routes.find_service(server.listing.service);
+        const bool may_order = service != nullptr && service->engine && server.is_listed && is_ours(server);
+        if (!may_order) {
+            continue;
+        }
+        server_plan& plan = servers_[name];
+        if (plan.started_at != server.listing.started_at) {
+            const auto wants = std::move(plan.wants);
+            plan = {};
+            plan.wants = wants;
+            plan.started_at = server.listing.started_at;
+        }
+        for (const auto& [ref, version] : server.listing.weights.adapters) {
+            plan.held_before.insert(ref);
+        }
+        auto order = plan_server(plan, server, *service->engine, versions, now);
+        if (order) {
+            plan.has_open_order = true;
+            orders.push_back(std::move(*order));
+        }
+    }
+    return orders;
+}
+
+std::optional<weights_order> adapter_planner::plan_server(server_plan& plan, const backend& server,
+                                                          const engine_rule& engine,
+                                                          const version_book& versions, time_point now) {
+    std::erase_if(plan.wants, [&](const auto& want) { return want.second + settings_.want_valid < now; });
+    std::erase_if(plan.uncertain, [&](const auto& entry) { return entry.second < now; });
+    if (plan.has_open_order || server.is_leaving || now < plan.retry_at) {
+        return std::nullopt;
+    }
+    if (server.listing.weights.models.empty()) {
+        return plan_model(plan, server, engine, now);
+    }
+    if (auto order = plan_check(plan, server, now)) {
+        return order;
+    }
+    if (auto order = plan_replacement(plan, server, versions, now)) {
+        return order;
+    }
+    return plan_want(plan, server, engine, versions, now);
+}
+
+weights_order adapter_planner::make_order(const backend& server, order_operation operation,
+                                          const adapter_ref& ref) const {
+    weights_order order;
+    order.server = server.listing.name;
+    order.started_at = server.listing.started_at;
+    order.operation = operation;
+    order.weights = ref;
+    order.expected_sequence = server.listing.order_sequence;
+    return order;
+}
+
+std::optional<weights_order> adapter_planner::plan_model(server_plan& plan, const backend& server,
+                                                         const engine_rule& engine, time_point now) {
+    const bool is_under_way =
+        plan.model_ordered != time_point{} && now < plan.model_ordered + model_load_limit;
+    if (is_under_way || now < next_model_load_ || engine.models.empty()) {
+        return std::nullopt;
+    }
+    const model_rule& model = engine.models.front();
+    if (model.weights_mb > engine.weights_mb) {
+        return std::nullopt;
+    }
+    plan.model_ordered = now;
+    const double pause_s = engine.loads_per_second > 0.0 ? 1.0 / engine.loads_per_second : 1.0;
+    next_model_load_ = now + std::chrono::duration_cast<duration>(std::chrono::duration<double>{pause_s});
+    return make_order(server, order_operation::load, {model.name, ""});
+}
+
+std::optional<weights_order> adapter_planner::plan_check(server_plan& plan, const backend& server,
+                                                         time_point now) const {
+    for (auto& [ref, load] : plan.coming) {
+        if (now < load.check_at) {
+            continue;
+        }
+        load.check_at = now + settings_.check_interval;
+        weights_order order = make_order(server, order_operation::load, ref);
+        order.version = load.version;
+        order.expected_sequence.reset();
+        return order;
+    }
+    return std::nullopt;
+}
+
+std::optional<weights_order> adapter_planner::plan_replacement(server_plan& plan, const backend& server,
+                                                               const version_book& versions,
+                                                               time_point now) const {
+    if (plan.coming.size() >= settings_.loads_per_server) {
+        return std::nullopt;
+    }
+    for (const auto& [ref, version] : server.listing.weights.adapters) {
+        const auto newest = versions.newest(ref);
+        if (!newest || *newest <= version || plan.coming.contains(ref)) {
+            continue;
+        }
+        weights_order order = make_order(server, order_operation::load, ref);
+        order.version = newest;
+        return order;
+    }
+    (void)now;
+    return std::nullopt;
+}
+
+std::optional<adapter_ref> adapter_planner::pick_victim(const server_plan& plan, const backend& server,
+                                                        time_point now) const {
+    std::optional<adapter_ref> victim;
+    time_point oldest{};
+    for (const auto& [ref, version] : server.listing.weights.adapters) {
+        if (plan.wants.contains(ref) || plan.coming.contains(ref) || is_used_(server, ref)) {
+            continue;
+        }
+        const auto used = plan.last_used.find(ref);
+        const time_point last = used == plan.last_used.end() ? time_point{} : used->second;
+        if (last != time_point{} && last + settings_.recent_use > now) {
+            continue;
+        }
+        if (!victim || last < oldest) {
+            victim = ref;
+            oldest = last;
+        }
+    }
+    return victim;
+}
+
+std::optional<weights_order> adapter_planner::plan_want(server_plan& plan, const backend& server,
+                                                        const engine_rule& engine,
+                                                        const version_book& versions, time_point now) const {
+    if (plan.coming.size() >= settings_.loads_per_server) {
+        return std::nullopt;
+    }
+    const auto& held = server.listing.weights.adapters;
+    for (const auto& [ref, since] : plan.wants) {
+        const bool is_settled = ref.is_base() || held.contains(ref) || plan.coming.contains(ref) ||
+                                plan.uncertain.contains(ref);
+        if (is_settled || !server.listing.weights.models.contains(ref.model)) {
+            continue;
+        }
+        std::size_t places = held.size() + plan.uncertain.size();
+        for (const auto& [coming_ref, load] : plan.coming) {
+            places += held.contains(coming_ref) ? 0 : 1;
+        }
+        if (places < engine.adapter_slots) {
+            weights_order order = make_order(server, order_operation::load, ref);
+            order.version = versions.newest(ref);
+            return order;
+        }
+        const auto victim = pick_victim(plan, server, now);
+        if (victim) {
+            return make_order(server, order_operation::unload, *victim);
+        }
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+bool adapter_planner::on_outcome(backend_directory& directory, const weights_order& order,
+                                 order_outcome outcome, time_point now) {
+    backend* server = directory.find(order.server);
+    const auto found = servers_.find(order.server);
+    if (server == nullptr || found == servers_.end() || server->listing.started_at != order.started_at ||
+        found->second.started_at != order.started_at) {
+        return false;
+    }
+    server_plan& plan = found->second;
+    plan.has_open_order = false;
+    const bool is_check = !order.expected_sequence.has_value();
+    server_listing& listing = server->listing;
+    if (outcome == order_outcome::unknown) {
+        plan.retry_at = now + refused_pause;
+        if (order.operation == order_operation::load && !is_check) {
+            plan.uncertain[order.weights] = now + settings_.uncertain_hold;
+        }
+        return true;
+    }
+    if (outcome == order_outcome::conflict) {
+        plan.retry_at = now + refused_pause / 3;
+        return !is_check;
+    }
+    if (outcome == order_outcome::refused || outcome == order_outcome::fenced) {
+        plan.retry_at = now + refused_pause;
+        plan.coming.erase(order.weights);
+        plan.wants.erase(order.weights);
+        return true;
+    }
+    if (order.weights.is_base()) {
+        return false;
+    }
+    if (order.operation == order_operation::unload) {
+        listing.weights.adapters.erase(order.weights);
+        ++listing.order_sequence;
+        return outcome == order_outcome::accepted;
+    }
+    if (outcome == order_outcome::holds) {
+        plan.coming.erase(order.weights);
+        plan.uncertain.erase(order.weights);
+        plan.wants.erase(order.weights);
+        listing.weights.adapters[order.weights] = order.version.value_or(1);
+        return false;
+    }
+    if (is_check) {
+        return false;
+    }
+    ++listing.order_sequence;
+    const bool is_warm = plan.held_before.contains(order.weights) && !listing.weights.adapters.contains(order.weights);
+    const duration load_time = is_warm ? settings_.warm_load_time : settings_.load_time;
+    plan.coming[order.weights] = {now + load_time, now, order.version};
+    return false;
+}
+
+void adapter_planner::on_report(backend_directory& directory, const server_name& name,
+                                std::uint64_t started_at, std::uint64_t sequence, const held_weights& weights,
+                                const std::set<adapter_ref>& coming, time_point now) {
+    const auto found = servers_.find(name);
+    if (found == servers_.end() || found->second.started_at != started_at) {
+        return;
+    }
+    server_plan& plan = found->second;
+    directory.on_weights(name, started_at, sequence, weights);
+    std::erase_if(plan.coming, [&](const auto& entry) {
+        return !coming.contains(entry.first) && now - entry.second.since > load_limit;
+    });
+    for (const adapter_ref& ref : coming) {
+        plan.coming.try_emplace(ref, incoming_load{now + settings_.check_interval, now, std::nullopt});
+        plan.uncertain.erase(ref);
+    }
+}
+
+} // namespace lovageledge
--- /dev/null
+++ b/modules/serving/backend_directory.cpp
@@ -0,0 +1,184 @@
+#include "lovageledge/serving/backend_directory.hpp"
+
+#include <algorithm>
+
+namespace lovageledge {
+namespace {
+
+/** First pause after a failure; short, since most failures are single lost connections. */
+constexpr auto first_avoidance = std::chrono::milliseconds{250};
+/** Longest pause; below the three check-ins after which the platform drops a silent server. */
+constexpr auto longest_avoidance = std::chrono::milliseconds{2000};
+constexpr std::uint32_t doublings_limit = 3;
+/** Pause after a full server refused a request; about the time of a few of its requests. */
+constexpr auto refused_avoidance = std::chrono::milliseconds{100};
+
+} // namespace
+
+std::optional<std::uint64_t> held_weights::version_of(const adapter_ref& ref) const {
+    if (ref.is_base()) {
+        const auto model = models.find(ref.model);
+        return model == models.end() ? std::nullopt : std::optional{model->second};
+    }
+    const auto adapter = adapters.find(ref);
+    return adapter == adapters.end() ? std::nullopt : std::optional{adapter->second};
+}
+
+std::uint32_t backend::total_in_flight() const {
+    std::uint32_t total = in_flight;
+    for (const auto& [peer, work] : peer_work) {
+        total += work.in_flight;
+    }
+    return total;
+}
+
+std::uint64_t backend::total_pending_tokens() const {
+    std::uint64_t total = pending_tokens;
+    for (const auto& [peer, work] : peer_work) {
+        total += work.pending_tokens;
+    }
+    return total;
+}
+
+bool backend::peers_use(const adapter_ref& ref) const {
+    return std::any_of(peer_work.begin(), peer_work.end(),
+                       [&](const auto& entry) { return entry.second.in_use.contains(ref); });
+}
+
+void backend_directory::clear_peer_work(const instance_name& peer) {
+    for (auto& [name, server] : servers_) {
+        server.peer_work.erase(peer);
+    }
+}
+
+bool backend_directory::on_listed(server_listing listing, time_point now) {
+    const auto known = servers_.find(listing.name);
+    const bool is_new_start =
+        known == servers_.end() || known->second.listing.started_at < listing.started_at;
+    if (is_new_start) {
+        backend fresh;
+        fresh.is_leaving = listing.is_leaving;
+        fresh.load_reported = now;
+        fresh.listing = std::move(listing);
+        servers_.insert_or_assign(fresh.listing.name, std::move(fresh));
+        return true;
+    }
+    backend& server = known->second;
+    if (server.listing.started_at > listing.started_at) {
+        return false;
+    }
+    const bool was_usable = server.is_listed && !server.is_leaving;
+    server.is_listed = true;
+    server.is_leaving = server.is_leaving || listing.is_leaving;
+    if (listing.order_sequence < server.listing.order_sequence) {
+        // The entry was written before orders whose outcome is known here.
+        listing.weights = server.listing.weights;
+        listing.order_sequence = server.listing.order_sequence;
+    }
+    server.listing = std::move(listing);
+    return was_usable != (server.is_listed && !server.is_leaving);
+}
+
+bool backend_directory::on_unlisted(const server_name& name) {
+    backend* server = find(name);
+    if (server == nullptr || !server->is_listed) {
+        return false;
+    }
+    server->is_listed = false;
+    if (server->in_flight == 0) {
+        servers_.erase(name);
+    }
+    return true;
+}
+
+std::vector<server_name> backend_directory::retain(const std::set<server_name>& listed) {
+    std::vector<server_name> dropped;
+    for (const auto& [name, server] : servers_) {
+        if (server.is_listed && !listed.contains(name)) {
+            dropped.push_back(name);
+        }
+    }
+    for (const server_name& name : dropped) {
+        on_unlisted(name);
+    }
+    return dropped;
+}
+
+void backend_directory::on_leaving(const server_name& name, std::uint64_t started_at) {
+    backend* server = find(name);
+    if (server != nullptr && server->listing.started_at == started_at) {
+        server->is_leaving = true;
+    }
+}
+
+bool backend_directory::on_weights(const server_name& name, std::uint64_t started_at, std::uint64_t sequence,
+                                   held_weights weights) {
+    backend* server = find(name);
+    const bool is_current = server != nullptr && server->listing.started_at == started_at &&
+                            server->listing.order_sequence <= sequence;
+    if (!is_current) {
+        return false;
+    }
+    server->listing.order_sequence = sequence;
+    server->listing.weights = std::move(weights);
+    return true;
+}
+
+void backend_directory::on_adapter_missing(const server_name& name, const adapter_ref& ref) {
+    backend* server = find(name);
+    if (server == nullptr) {
+        return;
+    }
+    if (ref.is_base()) {
+        server->listing.weights.models.erase(ref.model);
+    } else {
+        server->listing.weights.adapters.erase(ref);
+    }
+}
+
+void backend_directory::on_success(const server_name& name) {
+    backend* server = find(name);
+    if (server != nullptr) {
+        server->consecutive_failures = 0;
+        server->avoid_until = {};
+    }
+}
+
+void backend_directory::on_refused(const server_name& name, time_point now) {
+    backend* server = find(name);
+    if (server != nullptr) {
+        server->avoid_until = std::max(server->avoid_until, now + refused_avoidance);
+    }
+}
+
+void backend_directory::on_failure(const server_name& name, time_point now) {
+    backend* server = find(name);
+    if (server == nullptr) {
+        return;
+    }
+    const std::uint32_t doublings = std::min(server->consecutive_failures, doublings_limit);
+    server->avoid_until = now + std::min<duration>(first_avoidance * (1U << doublings), longest_avoidance);
+    ++server->consecutive_failures;
+}
+
+backend* backend_directory::find(const server_name& name) {
+    const auto server = servers_.find(name);
+    return server == servers_.end() ? nullptr : &server->second;
+}
+
+const backend* backend_directory::find(const server_name& name) const {
+    const auto server = servers_.find(name);
+    return server == servers_.end() ? nullptr : &server->second;
+}
+
+std::vector<backend*> backend_directory::usable(const pool_name& service) {
+    std::vector<backend*> found;
+    for (auto& [name, server] : servers_) {
+        if (server.is_listed && !server.is_leaving && server.listing.service == service) {
+            found.push_back(&server);
+        }
+    }
+    return found;
+}
+
+} // namespace lovageledge
--- /dev/null
+++ b/modules/serving/include/lovageledge/serving/adapter_planner.hpp
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "lovageledge/serving/backend_directory.hpp"
+#include "lovageledge/serving/traffic_configuration.hpp"
+#include "lovageledge/serving/version_book.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace lovageledge {
+
+enum class order_operation { load, unload };
+
+/** An order to a backend server, tied to what it was decided on. */
+struct weights_order {
+    server_name server;
+    std::uint64_t started_at = 0;
+    order_operation operation = order_operation::load;
+    adapter_ref weights;
+    std::optional<std::uint64_t> version;
+    /** Orders that the server has accepted when this one arrives; another count makes it refuse. */
+    std::optional<std::uint64_t> expected_sequence;
+};
+
+/** What a server said to an order. */
+enum class order_outcome {
+    /** It is being carried out. */
+    accepted,
+    /** What the order asks for holds already. */
+    holds,
+    /** The server's count of orders differs, or another order is in progress. */
+    conflict,
+    /** A newer fencing token was used there. */
+    fenced,
+    /** Refused for another reason; nothing happens. */
+    refused,
+    /** No answer: it may be carried out at any later time. */
+    unknown,
+};
+
+/** Times and limits of the planner. */
+struct planner_settings {
+    /** Load time of an adapter, before its presence is checked. */
+    duration load_time = std::chrono::milliseconds{260};
+    /** Load time of one that the server held recently. */
+    duration warm_load_time = std::chrono::milliseconds{40};
+    /** Pause between checks of a load that is late. */
+    duration check_interval = std::chrono::milliseconds{120};
+    /** An order without answer may be carried out for this long. */
+    duration uncertain_hold = std::chrono::seconds{13};
+    /** Loads on their way to one server at a time; the engines' limit. */
+    std::size_t loads_per_server = 4;
+    /** Wants are forgotten after this long. */
+    duration want_valid = std::chrono::milliseconds{1500};
+    /** An adapter used less than this long ago is evicted only if no other can be. */
+    duration recent_use = std::chrono::milliseconds{300};
+};
+
+/**
+    Plans which adapters a data centre's servers hold: loads on demand, evictions of the least recently used.
+
+    The load pattern it answers: thousands of adapters with skewed, shifting popularity over a few places per
+    server, where a load takes a quarter of a second and a second load of the same adapter a tenth of that.
+    One holder per data centre runs it. It decides; the caller sends the orders and returns their outcomes.
+    Each server has at most one order without answer. Not thread-safe.
+*/
+class adapter_planner {
+public:
+    explicit adapter_planner(planner_settings settings) : settings_{settings} {}
+
+    /** Asked of the in-flight work of all instances. @returns true if a request uses the adapter there */
+    using usage_function = std::function<bool(const backend&, const adapter_ref&)>;
+    void set_usage(usage_function is_used) { is_used_ = std::move(is_used); }
+
+    /** Forgets all, when this instance has become the holder anew. */
+    void reset() { servers_.clear(); }
+
+    /** @returns true if loads are on their way or wanted, so that orders may be due soon */
+    bool is_busy() const;
+
+    /** A request needs an adapter on a server. */
+    void on_wanted(const server_name& server, const adapter_ref& ref, time_point now);
+    /** A request was sent to a server that holds the adapter. */
+    void on_used(const server_name& server, const adapter_ref& ref, time_point now);
+
+    /** Decides the next orders. The caller sends them all, in order.
+        @param is_ours tells whether a server belongs to the data centre that is planned here */
+    std::vector<weights_order> next_orders(const backend_directory& directory, const route_table& routes,
+                                           const version_book& versions,
+                                           const std::function<bool(const backend&)>& is_ours, time_point now);
+
+    /** Takes the outcome of an order.
+        @returns true if the server's weights should be read from the server itself */
+    bool on_outcome(backend_directory& directory, const weights_order& order, order_outcome outcome,
+                    time_point now);
+    /** Takes what a server reports of itself after a conflict. @param coming adapters on their way */
+    void on_report(backend_directory& directory, const server_name& server, std::uint64_t started_at,
+                   std::uint64_t sequence, const held_weights& weights, const std::set<adapter_ref>& coming,
+                   time_point now);
+
+private:
+    struct incoming_load {
+        time_point check_at{};
+        time_point since{};
+        std::optional<std::uint64_t> version;
+    };
+    struct server_plan {
+        std::uint64_t started_at = 0;
+        bool has_open_order = false;
+        std::map<adapter_ref, time_point> wants;
+        std::map<adapter_ref, time_point> last_used;
+        std::map<adapter_ref, incoming_load> coming;
+        /** Loads without an answer, that may still take a place. */
+        std::map<adapter_ref, time_point> uncertain;
+        /** Adapters held since the start, which load faster. */
+        std::set<adapter_ref> held_before;
+        time_point model_ordered{};
+        time_point retry_at{};
+    };
+
+    std::optional<weights_order> plan_server(server_plan& plan, const backend& server,
+                                             const engine_rule& engine, const version_book& versions,
+                                             time_point now);
+    std::optional<weights_order> plan_check(server_plan& plan, const backend& server, time_point now) const;
+    std::optional<weights_order> plan_replacement(server_plan& plan, const backend& server,
+                                                  const version_book& versions, time_point now) const;
+    std::optional<weights_order> plan_model(server_plan& plan, const backend& server,
+                                            const engine_rule& engine, time_point now);
+    std::optional<weights_order> plan_want(server_plan& plan, const backend& server, const engine_rule& engine,
+                                           const version_book& versions, time_point now) const;
+    std::optional<adapter_ref> pick_victim(const server_plan& plan, const backend& server,
+                                           time_point now) const;
+    weights_order make_order(const backend& server, order_operation operation, const adapter_ref& ref) const;
+
+    planner_settings settings_;
+    usage_function is_used_ = [](const backend&, const adapter_ref&) { return false; };
+    std::map<server_name, server_plan> servers_;
+    time_point next_model_load_{};
+};
+
+} // namespace lovageledge
--- /dev/null
+++ b/modules/serving/include/lovageledge/serving/backend_directory.hpp
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "lovageledge/base/base.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lovageledge {
+
+/** An adapter of a base model; an empty adapter name means the base model itself. */
+struct adapter_ref {
+    std::string model;
+    std::string adapter;
+
+    bool is_base() const { return adapter.empty(); }
+    auto operator<=>(const adapter_ref&) const = default; // NOLINT(modernize-use-nullptr)
+};
+
+/** What a server holds: base models, and adapters with the version of each. */
+struct held_weights {
+    std::map<std::string, std::uint64_t> models;
+    std::map<adapter_ref, std::uint64_t> adapters;
+
+    /** @returns the version that is held, or nothing */
+    std::optional<std::uint64_t> version_of(const adapter_ref& ref) const;
+};
+
+/** A backend server as the platform lists it. */
+struct server_listing {
+    server_name name;
+    pool_name service;
+    std::string address;
+    data_centre_name zone;
+    std::uint32_t slots = 1;
+    bool is_leaving = false;
+    /** Unix time of the server's start in milliseconds; tells two starts under one name apart. */
+    std::uint64_t started_at = 0;
+    /** Orders that this start has accepted. */
+    std::uint64_t order_sequence = 0;
+    held_weights weights;
+};
+
+/** How busy a server said it was. */
+struct server_load_report {
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+    /** Time that work takes at present, 100 as usual. */
+    std::uint32_t pace_percent = 100;
+};
+
+/** What another gateway of the data centre has under way at a server, as it last told. */
+struct peer_server_work {
+    std::uint32_t in_flight = 0;
+    std::uint64_t pending_tokens = 0;
+    std::set<adapter_ref> in_use;
+};
+
+/** All that this instance believes of one start of a backend server. */
+struct backend {
+    server_listing listing;
+    /** Set while the platform lists it; a server that is not listed takes no new work. */
+    bool is_listed = true;
+    bool is_leaving = false;
+
+    server_load_report load;
+    time_point load_reported{};
+    /** Requests of this instance that were sent and not answered yet. */
+    std::uint32_t in_flight = 0;
+    /** Prompt tokens of this instance's requests that have no first event yet. */
+    std::uint64_t pending_tokens = 0;
+    std::map<instance_name, peer_server_work> peer_work;
+
+    std::uint32_t consecutive_failures = 0;
+    /** No new work before this time, unless nobody else can take it. */
+    time_point avoid_until{};
+    /** When the prompt part was last sent here, by adapter and part. */
+    std::map<std::pair<adapter_ref, std::string>, time_point> prompt_parts;
+    /** Requests of this instance that run or wait there, by adapter. */
+    std::map<adapter_ref, std::uint32_t> adapters_in_use;
+
+    std::uint32_t total_in_flight() const;
+    std::uint64_t total_pending_tokens() const;
+    /** @returns true if another gateway has a request for the adapter there */
+    bool peers_use(const adapter_ref& ref) const;
+};
+
+/**
+    The backend servers that may take work, and what is known of each.
+
+    A belief belongs to one start of a server: a restart under the same name begins with nothing. A server that
+    has announced its end stays unusable for the rest of that start. Not thread-safe.
+*/
+class backend_directory {
+public:
+    /** Takes a server's entry. @returns true if it began a new start or changed its state */
+    bool on_listed(server_listing listing, time_point now);
+    /** The platform has dropped a server. @returns true if it was listed */
+    bool on_unlisted(const server_name& name);
+    /** Takes the complete list after a gap: whatever is not in it is dropped. @returns dropped names */
+    std::vector<server_name> retain(const std::set<server_name>& listed);
+    /** The server itself has announced its end. */
+    void on_leaving(const server_name& name, std::uint64_t started_at);
+
+    /** Takes what the holder of a server's orders says that it holds.
+        @returns false if the word is older than what is known, or of another start */
+    bool on_weights(const server_name& name, std::uint64_t started_at, std::uint64_t sequence,
+                    held_weights weights);
+    /** The server refused a request since it does not hold the adapter. */
+    void on_adapter_missing(const server_name& name, const adapter_ref& ref);
+
+    /** An answer began: the server works. */
+    void on_success(const server_name& name);
+    /** The server was full: it is avoided for a moment, which is no failure. */
+    void on_refused(const server_name& name, time_point now);
+    /** A connection or an answer failed. The server is avoided for a time that doubles with each failure. */
+    void on_failure(const server_name& name, time_point now);
+
+    /** Forgets what a peer had under way, before it tells anew. */
+    void clear_peer_work(const instance_name& peer);
+
+    /** @returns a server, or nullptr */
+    backend* find(const server_name& name);
+    const backend* find(const server_name& name) const;
+    /** @returns servers of a service that may take new work, in the order of their names */
+    std::vector<backend*> usable(const pool_name& service);
+    const std::map<server_name, backend>& servers() const { return servers_; }
+
+private:
+    std::map<server_name, backend> servers_;
+};
+
+} // namespace lovageledge
--- /dev/null
+++ b/modules/serving/server_selector.cpp
@@ -0,0 +1,135 @@
+#include "lovageledge/serving/server_selector.hpp"
+
+#include <algorithm>
+
+namespace lovageledge {
+namespace {
+
+/** Prompt parts that are remembered for each server; about what an engine's memory keeps. */
+constexpr std::size_t remembered_parts = 200;
+/** Added to servers that failed lately, so that they are chosen only if nothing else is left. */
+constexpr auto avoided_penalty = std::chrono::seconds{5};
+
+duration milliseconds_of(double value) {
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>{value});
+}
+
+void forget_oldest_part(backend& server) {
+    const auto oldest =
+        std::min_element(server.prompt_parts.begin(), server.prompt_parts.end(),
+                         [](const auto& left, const auto& right) { return left.second < right.second; });
+    server.prompt_parts.erase(oldest);
+}
+
+} // namespace
+
+server_selector::server_selector(selector_settings settings,
+                                 std::function<bool(const data_centre_name&)> is_local)
+    : settings_{settings}, is_local_{std::move(is_local)} {
+    estimate_ = [this](const backend& server, const work_item& work, time_point now) {
+        return work.needs_weights() ? estimate_engine(server, work, now) : estimate_plain(server, now);
+    };
+}
+
+std::uint32_t server_selector::uncached_tokens(const backend& server, const work_item& work,
+                                               time_point now) const {
+    std::uint32_t kept = 0;
+    for (const prompt_part& part : work.prompt_parts) {
+        const auto sent = server.prompt_parts.find({work.weights, part.id});
+        if (sent == server.prompt_parts.end() || sent->second + settings_.part_kept < now) {
+            break;
+        }
+        kept += part.tokens;
+    }
+    return work.prompt_tokens > kept ? work.prompt_tokens - kept : 0;
+}
+
+duration server_selector::estimate_engine(const backend& server, const work_item& work,
+                                          time_point now) const {
+    const double tokens =
+        static_cast<double>(server.total_pending_tokens()) + uncached_tokens(server, work, now);
+    duration estimate = milliseconds_of(tokens / settings_.prefill_tokens_per_ms);
+    estimate += settings_.engine_running * server.total_in_flight();
+    if (server.load_reported + settings_.report_valid >= now) {
+        estimate += settings_.engine_waiting * server.load.waiting;
+    }
+    return estimate;
+}
+
+duration server_selector::estimate_plain(const backend& server, time_point now) const {
+    const bool is_report_valid = server.load_reported + settings_.report_valid >= now;
+    const std::uint32_t reported = is_report_valid ? server.load.running + server.load.waiting : 0;
+    const std::uint32_t busy = std::max(server.total_in_flight(), reported);
+    const double pace = is_report_valid ? server.load.pace_percent / 100.0 : 1.0;
+    const double rounds = 1.0 + static_cast<double>(busy) / std::max(1U, server.listing.slots);
+    return std::chrono::duration_cast<duration>(settings_.plain_work * (rounds * pace));
+}
+
+bool server_selector::holds(const backend& server, const version_book& versions, const work_item& work,
+                            time_point now) {
+    if (!work.needs_weights()) {
+        return true;
+    }
+    const auto held = server.listing.weights.version_of(work.weights);
+    const auto required = versions.required(work.weights, now);
+    return held && (!required || *held >= *required);
+}
+
+std::optional<server_choice> server_selector::pick(backend_directory& directory, const version_book& versions,
+                                                   const work_item& work, time_point now) const {
+    std::optional<server_choice> best;
+    duration best_cost{};
+    const backend* home = nullptr;
+    std::uint64_t home_weight = 0;
+    const std::string home_key = work.weights.model + "/" + work.weights.adapter;
+    const auto candidates = directory.usable(work.service);
+    for (const backend* server : candidates) {
+        const std::uint64_t weight = rendezvous_weight(home_key, server->listing.name.text());
+        if (is_local_(server->listing.zone) && (home == nullptr || weight > home_weight)) {
+            home = server;
+            home_weight = weight;
+        }
+    }
+    for (const backend* server : candidates) {
+        if (work.excluded.contains(server->listing.name)) {
+            continue;
+        }
+        const bool is_base_missing =
+            work.needs_weights() && !server->listing.weights.models.contains(work.weights.model);
+        if (is_base_missing) {
+            continue;
+        }
+        server_choice choice{server->listing.name, !holds(*server, versions, work, now),
+                             !is_local_(server->listing.zone), estimate_(*server, work, now)};
+        duration cost = choice.estimate;
+        if (choice.needs_load) {
+            choice.estimate += settings_.cold_load;
+            cost += settings_.cold_load;
+        }
+        if (choice.needs_load && server != home) {
+            cost += settings_.other_home;
+        }
+        if (choice.is_remote) {
+            cost += work.needs_weights() ? settings_.remote_engine_penalty : settings_.remote_plain_penalty;
+        }
+        if (server->avoid_until > now) {
+            cost += avoided_penalty;
+        }
+        if (!best || cost < best_cost) {
+            best = choice;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+void server_selector::note_sent(backend& server, const work_item& work, time_point now) {
+    for (const prompt_part& part : work.prompt_parts) {
+        server.prompt_parts[{work.weights, part.id}] = now;
+    }
+    while (server.prompt_parts.size() > remembered_parts) {
+        forget_oldest_part(server);
+    }
+}
+
+} // namespace lovageledge
--- /dev/null
+++ b/modules/transport/forwarding_connection.cpp
@@ -0,0 +1,177 @@
+#include "lovageledge/transport/forwarding_connection.hpp"
+
+#include <charconv>
+#include <netinet/tcp.h>
+
+namespace lovageledge {
+namespace {
+
+/** An idle connection is used this long if the server does not tell its own limit. */
+constexpr auto default_idle_limit = std::chrono::milliseconds{500};
+/** Part of a server's idle limit that is used: its clock started earlier than ours. */
+constexpr double idle_share = 0.75;
+/** Unacknowledged bytes and missing keep-alives end a connection after about three seconds. */
+constexpr int unacknowledged_limit_ms = 2500;
+constexpr int keep_alive_idle_s = 1;
+constexpr int keep_alive_interval_s = 1;
+constexpr int keep_alive_probes = 2;
+/** Longest head of an answer. */
+constexpr std::uint32_t head_limit_bytes = 64 * 1024;
+
+template <int Level, int Name>
+using int_option = asio::detail::socket_option::integer<Level, Name>;
+
+void set_options(asio::ip::tcp::socket& socket) {
+    boost::system::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
+    socket.set_option(asio::socket_base::keep_alive{true}, ignored);
+    socket.set_option(int_option<IPPROTO_TCP, TCP_KEEPIDLE>{keep_alive_idle_s}, ignored);
+    socket.set_option(int_option<IPPROTO_TCP, TCP_KEEPINTVL>{keep_alive_interval_s}, ignored);
+    socket.set_option(int_option<IPPROTO_TCP, TCP_KEEPCNT>{keep_alive_probes}, ignored);
+    socket.set_option(int_option<IPPROTO_TCP, TCP_USER_TIMEOUT>{unacknowledged_limit_ms}, ignored);
+}
+
+} // namespace
+
+std::optional<std::string_view> answer_head::header(std::string_view name) const {
+    for (const http_header& header : headers) {
+        if (beast::iequals(beast::string_view{header.name}, beast::string_view{name.data(), name.size()})) {
+            return header.value;
+        }
+    }
+    return std::nullopt;
+}
+
+void forwarding_connection::fail(const char* step, const boost::system::error_code& code, error& why) {
+    why = {step, address_, code.message()};
+    abort();
+}
+
+void forwarding_connection::abort() {
+    is_aborted_ = true;
+    boost::system::error_code ignored;
+    stream_.socket().set_option(asio::socket_base::linger{true, 0}, ignored);
+    stream_.socket().close(ignored);
+}
+
+asio::awaitable<bool> forwarding_connection::open(const std::string& address, duration timeout, error& why) {
+    address_ = address;
+    const auto endpoint = parse_endpoint(address_);
+    if (!endpoint) {
+        why = {"http.connect", address_, "malformed address"};
+        co_return false;
+    }
+    stream_.expires_after(timeout);
+    boost::system::error_code code;
+    co_await stream_.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, code));
+    if (code) {
+        fail("http.connect", code, why);
+        co_return false;
+    }
+    set_options(stream_.socket());
+    co_return !is_aborted_;
+}
+
+bool forwarding_connection::is_usable(time_point now) {
+    if (is_aborted_ || !stream_.socket().is_open() || now - idle_since_ > idle_limit_) {
+        return false;
+    }
+    boost::system::error_code code;
+    stream_.socket().non_blocking(true, code);
+    char byte = 0;
+    stream_.socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, code);
+    return code == asio::error::would_block;
+}
+
+void forwarding_connection::send(std::string head, std::string body) {
+    outgoing_head_ = std::move(head);
+    outgoing_body_ = std::move(body);
+    is_writing_ = true;
+    has_received_ = false;
+    const std::array<asio::const_buffer, 2> buffers{asio::buffer(outgoing_head_),
+                                                    asio::buffer(outgoing_body_)};
+    stream_.expires_never();
+    asio::async_write(stream_, buffers, [self = shared_from_this()](boost::system::error_code code, std::size_t) {
+        self->is_writing_ = false;
+        if (code) {
+            // The reader may still find an answer that came before the connection broke.
+            boost::system::error_code ignored;
+            self->stream_.socket().shutdown(asio::socket_base::shutdown_send, ignored);
+        }
+    });
+}
+
+void forwarding_connection::note_keep_alive(const answer_head& head) {
+    idle_limit_ = default_idle_limit;
+    const auto value = head.header("Keep-Alive");
+    const std::size_t position = value ? value->find("timeout=") : std::string_view::npos;
+    if (position == std::string_view::npos) {
+        return;
+    }
+    const std::string_view digits = value->substr(position + 8);
+    std::uint32_t seconds = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    idle_limit_ =
+        std::chrono::duration_cast<duration>(std::chrono::duration<double>{seconds * idle_share});
+}
+
+asio::awaitable<std::optional<answer_head>> forwarding_connection::read_head(time_point limit, error& why) {
+    if (is_aborted_) {
+        why = {"http.read", address_, "aborted"};
+        co_return std::nullopt;
+    }
+    parser_.emplace();
+    parser_->header_limit(head_limit_bytes);
+    parser_->body_limit(boost::none);
+    stream_.expires_at(limit);
+    boost::system::error_code code;
+    co_await http::async_read_header(stream_, buffer_, *parser_,
+                                     asio::redirect_error(asio::use_awaitable, code));
+    has_received_ = has_received_ || parser_->got_some();
+    if (code) {
+        fail("http.read", code, why);
+        co_return std::nullopt;
+    }
+    answer_head head;
+    head.status = parser_->get().result_int();
+    head.is_chunked = parser_->chunked();
+    for (const auto& field : parser_->get()) {
+        head.headers.push_back({std::string{field.name_string()}, std::string{field.value()}});
+    }
+    if (parser_->content_length()) {
+        head.content_length = *parser_->content_length();
+    }
+    note_keep_alive(head);
+    co_return head;
+}
+
+asio::awaitable<std::optional<std::string_view>> forwarding_connection::read_some(time_point limit,
+                                                                                  error& why) {
+    while (!parser_->is_done()) {
+        parser_->get().body().data = block_.data();
+        parser_->get().body().size = block_.size();
+        stream_.expires_at(limit);
+        boost::system::error_code code;
+        co_await http::async_read_some(stream_, buffer_, *parser_,
+                                       asio::redirect_error(asio::use_awaitable, code));
+        if (code == http::error::need_buffer) {
+            code = {};
+        }
+        if (code || is_aborted_) {
+            fail("http.read", code, why);
+            co_return std::nullopt;
+        }
+        const std::size_t size = block_.size() - parser_->get().body().size;
+        if (size > 0) {
+            co_return std::string_view{block_.data(), size};
+        }
+    }
+    co_return std::string_view{};
+}
+
+bool forwarding_connection::is_kept() const {
+    return !is_aborted_ && !is_writing_ && buffer_.size() == 0 && parser_ && parser_->is_done() &&
+           parser_->get().keep_alive();
+}
+
+} // namespace lovageledge
--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -93,8 +93,12 @@
     for (const http_header& header : headers) {
         answer.set(header.name, header.value);
     }
-    answer.keep_alive(request_.keep_alive());
     answer.chunked(true);
+    co_return co_await write_head(std::move(answer));
+}
+
+asio::awaitable<bool> http_exchange::write_head(http::response<http::empty_body> answer) {
+    answer.keep_alive(request_.keep_alive());
     http::response_serializer<http::empty_body> serializer{answer};
     stream_.expires_after(limits_.write_timeout);
     boost::system::error_code code;
@@ -102,14 +106,56 @@
     co_return co_await finish_write(code);
 }
 
+asio::awaitable<bool> http_exchange::begin_forwarded(unsigned status, const std::vector<http_header>& headers,
+                                                     std::optional<std::uint64_t> length) {
+    assert(!has_answered_);
+    has_answered_ = true;
+    is_stream_whole_ = false;
+    http::response<http::empty_body> answer{static_cast<http::status>(status), 11};
+    for (const http_header& header : headers) {
+        answer.insert(header.name, header.value);
+    }
+    remaining_length_ = length;
+    if (length) {
+        answer.content_length(*length);
+    } else {
+        answer.chunked(true);
+    }
+    co_return co_await write_head(std::move(answer));
+}
+
+asio::awaitable<bool> http_exchange::respond_forwarded(unsigned status,
+                                                       const std::vector<http_header>& headers,
+                                                       std::string body) {
+    assert(!has_answered_);
+    has_answered_ = true;
+    close_listener_.reset();
+    http::response<http::string_body> answer{static_cast<http::status>(status), 11, std::move(body)};
+    for (const http_header& header : headers) {
+        answer.insert(header.name, header.value);
+    }
+    answer.keep_alive(request_.keep_alive());
+    answer.prepare_payload();
+    stream_.expires_after(limits_.write_timeout);
+    boost::system::error_code code;
+    co_await http::async_write(stream_, answer, asio::redirect_error(asio::use_awaitable, code));
+    co_return co_await finish_write(code);
+}
+
 asio::awaitable<bool> http_exchange::write(std::string_view bytes) {
     if (is_aborted_) {
         co_return false;
     }
     stream_.expires_after(limits_.write_timeout);
     boost::system::error_code code;
-    co_await asio::async_write(stream_, http::make_chunk(asio::buffer(bytes.data(), bytes.size())),
-                               asio::redirect_error(asio::use_awaitable, code));
+    if (remaining_length_) {
+        *remaining_length_ -= std::min<std::uint64_t>(*remaining_length_, bytes.size());
+        co_await asio::async_write(stream_, asio::buffer(bytes.data(), bytes.size()),
+                                   asio::redirect_error(asio::use_awaitable, code));
+    } else {
+        co_await asio::async_write(stream_, http::make_chunk(asio::buffer(bytes.data(), bytes.size())),
+                                   asio::redirect_error(asio::use_awaitable, code));
+    }
     co_return co_await finish_write(code);
 }
 
@@ -117,6 +163,11 @@
     if (is_aborted_) {
         co_return false;
     }
+    close_listener_.reset();
+    if (remaining_length_) {
+        is_stream_whole_ = *remaining_length_ == 0;
+        co_return is_stream_whole_;
+    }
     stream_.expires_after(limits_.write_timeout);
     boost::system::error_code code;
     co_await asio::async_write(stream_, http::make_chunk_last(),
@@ -127,6 +178,7 @@
 
 void http_exchange::abort() {
     is_aborted_ = true;
+    close_listener_.reset();
     boost::system::error_code ignored;
     stream_.socket().set_option(asio::socket_base::linger{true, 0}, ignored);
     stream_.socket().close(ignored);
--- a/modules/transport/include/lovageledge/transport/http_server.hpp
+++ b/modules/transport/include/lovageledge/transport/http_server.hpp
@@ -46,6 +46,8 @@
     std::string parameter(std::string_view name) const;
     std::string header(std::string_view name) const;
     const std::string& body() const { return request_.body(); }
+    /** @returns the whole request, as it was received */
+    const http::request<http::string_body>& request() const { return request_; }
 
     /** Sends a whole answer. Precondition: nothing was sent. */
     asio::awaitable<bool> respond(unsigned status, std::string body,
@@ -53,6 +55,15 @@
                                   std::vector<http_header> headers = {});
     /** Begins a chunked answer. Precondition: nothing was sent. @returns false if the caller is gone */
     asio::awaitable<bool> begin_stream(std::string content_type, std::vector<http_header> headers);
+    /** Begins an answer whose headers are passed on as they are. Precondition: nothing was sent.
+        @param length bytes of the body, or nothing for a chunked answer
+        @returns false if the caller is gone */
+    asio::awaitable<bool> begin_forwarded(unsigned status, const std::vector<http_header>& headers,
+                                          std::optional<std::uint64_t> length);
+    /** Sends a whole answer whose headers are passed on as they are. Precondition: nothing was sent.
+        @returns false if the caller is gone */
+    asio::awaitable<bool> respond_forwarded(unsigned status, const std::vector<http_header>& headers,
+                                            std::string body);
     /** Sends a part of a chunked answer. @returns false if the caller is gone */
     asio::awaitable<bool> write(std::string_view bytes);
     /** Ends a chunked answer in good order. */
@@ -60,7 +71,8 @@
     /** Breaks the connection, so that a cut answer never looks whole. */
     void abort();
 
-    /** Runs a function once if the caller closes its connection before the answer has begun to be sent. */
+    /** Runs a function once if the caller closes its connection before the answer has begun to be sent, or,
+        for a forwarded answer, before it has ended. */
     void on_close(std::function<void()> function);
 
     bool has_answered() const { return has_answered_; }
@@ -69,11 +81,14 @@
 
 private:
     asio::awaitable<bool> finish_write(boost::system::error_code code);
+    asio::awaitable<bool> write_head(http::response<http::empty_body> answer);
 
     beast::tcp_stream& stream_;
     http::request<http::string_body> request_;
     const http_limits& limits_;
     std::shared_ptr<std::function<void()>> close_listener_;
+    /** Bytes of a body of known length that are still to be sent. */
+    std::optional<std::uint64_t> remaining_length_;
     bool has_answered_ = false;
     bool is_stream_whole_ = true;
     bool is_aborted_ = false;
@@ -99,6 +114,9 @@
     void stop_accepting();
     /** Resets all open connections, as a restarted process would. Thread-safe. */
     void reset_connections();
+    /** Sets the limits for requests that begin from now on. Precondition: called on the thread that runs the
+        context, which has only one. */
+    void set_limits(const http_limits& limits) { limits_ = limits; }
     std::uint32_t connections() const { return connections_; }
     /** @returns the port that it listens on */
     std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
--- a/modules/transport/include/lovageledge/transport/transport.hpp
+++ b/modules/transport/include/lovageledge/transport/transport.hpp
@@ -3,6 +3,7 @@
 // Umbrella header of the transport module: HTTP by Boost.Beast, messages between peers by ZeroMQ.
 // Depends on: protocol, Boost.Asio, Boost.Beast, ZeroMQ.
 
+#include "lovageledge/transport/forwarding_connection.hpp"
 #include "lovageledge/transport/http_connection.hpp"
 #include "lovageledge/transport/http_server.hpp"
 #include "lovageledge/transport/peer_socket.hpp"
