Orders count by the server's own report; long answers pass

Cause: the entry's sequence counts check-ins, the report's counts orders; Beast 1.74 takes 'no body limit' for a limit of zero. Ruled out: the fence and the holder's name (no 412 was seen).

--- a/modules/coordination/node.cpp
+++ b/modules/coordination/node.cpp
@@ -475,6 +475,9 @@
         apply_configuration();
         break;
     }
+    case protocol::Envelope::kGatewayState:
+    case protocol::Envelope::kWeightsWanted:
+    case protocol::Envelope::kWeightsHeld: // Between gateways only.
     case protocol::Envelope::BODY_NOT_SET:
         break;
     }
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -101,9 +101,9 @@
     if (has_changed && server != nullptr) {
         const server_listing& entry = server->listing;
         state_.log.write(event::backend_listed,
-                         fmt::format("server={} service={} data_centre={} started_at={} leaving={} sequence={}",
+                         fmt::format("server={} service={} data_centre={} started_at={} leaving={}",
                                      name.text(), entry.service.text(), entry.zone.text(), entry.started_at,
-                                     server->is_leaving, entry.order_sequence));
+                                     server->is_leaving));
     }
     desk_.on_servers_changed();
 }
--- a/modules/gateway/order_desk.cpp
+++ b/modules/gateway/order_desk.cpp
@@ -407,7 +407,8 @@
         }
     }
     const server_name server{message.server()};
-    if (state_.directory.on_weights(server, message.started_at(), message.sequence(), std::move(weights))) {
+    if (state_.directory.on_weights(server, message.started_at(), message.sequence(), std::move(weights),
+                                    state_.now())) {
         wake_waiters(server);
     }
 }
@@ -417,7 +418,7 @@
     protocol::WeightsHeld& held = *message.mutable_weights_held();
     held.set_server(server.listing.name.text());
     held.set_started_at(server.listing.started_at);
-    held.set_sequence(server.listing.order_sequence);
+    held.set_sequence(server.order_sequence.value_or(0));
     for (const auto& [model, version] : server.listing.weights.models) {
         *held.add_weights() = to_message({model, ""}, version);
     }
@@ -514,6 +515,10 @@
     const auto is_ours = [this](const backend& server) {
         return server.listing.zone == state_.settings.data_centre;
     };
+    for (const server_name& name : planner_.next_reads(state_.directory, *state_.routes, is_ours, state_.now())) {
+        asio::co_spawn(context_, read_server(name, state_.directory.find(name)->listing.address),
+                       asio::detached);
+    }
     auto orders =
         planner_.next_orders(state_.directory, *state_.routes, state_.versions, is_ours, state_.now());
     for (weights_order& order : orders) {
@@ -531,18 +536,11 @@
         // Another holder's token was seen there: this one is out of date, whatever the store has told so far.
         domain_.start.clear();
     }
-    const bool should_read =
+    const bool has_changed =
         planner_.on_outcome(state_.directory, order, result.outcome, state_.now());
     const backend* server = state_.directory.find(order.server);
-    if (server != nullptr) {
-        const bool has_changed = order.operation == order_operation::unload ||
-                                 result.outcome == order_outcome::holds;
-        if (has_changed && !should_read) {
-            publish_weights(*server);
-        }
-        if (should_read) {
-            co_await read_server(order.server, address);
-        }
+    if (server != nullptr && has_changed) {
+        publish_weights(*server);
     }
     plan_now();
     if (planner_.is_busy()) {
@@ -555,11 +553,13 @@
     const backend* server = state_.directory.find(name);
     const bool is_same_start = report && server != nullptr && server->listing.started_at == report->started_at;
     if (!is_same_start) {
+        planner_.on_report_missing(name, state_.now());
         co_return;
     }
     planner_.on_report(state_.directory, name, report->started_at, report->order_sequence, report->weights,
                        report->coming, state_.now());
     publish_weights(*server);
+    plan_now();
 }
 
 void order_desk::log_order(const weights_order& order, const order_result& result) {
--- a/modules/serving/adapter_planner.cpp
+++ b/modules/serving/adapter_planner.cpp
@@ -9,6 +9,8 @@
 constexpr auto refused_pause = std::chrono::milliseconds{300};
 /** A load that is not there after this long is ordered again. */
 constexpr auto load_limit = std::chrono::seconds{4};
+/** A report may be this old. */
+constexpr auto report_lag = std::chrono::milliseconds{300};
 /** Pause before the same server is told again to load a base model. */
 constexpr auto model_load_limit = std::chrono::seconds{8};
 
@@ -30,6 +32,23 @@
     servers_[server].last_used[ref] = now;
 }
 
+adapter_planner::server_plan* adapter_planner::find_plan(const backend& server, const route_table& routes,
+                                                         const std::function<bool(const backend&)>& is_ours) {
+    const service_rule* service = routes.find_service(server.listing.service);
+    const bool may_order = service != nullptr && service->engine && server.is_listed && is_ours(server);
+    if (!may_order) {
+        return nullptr;
+    }
+    server_plan& plan = servers_[server.listing.name];
+    if (plan.started_at != server.listing.started_at) {
+        auto wants = std::move(plan.wants);
+        plan = {};
+        plan.wants = std::move(wants);
+        plan.started_at = server.listing.started_at;
+    }
+    return &plan;
+}
+
 std::vector<weights_order> adapter_planner::next_orders(const backend_directory& directory,
                                                         const route_table& routes,
                                                         const version_book& versions,
@@ -37,30 +56,40 @@
                                                         time_point now) {
     std::vector<weights_order> orders;
     for (const auto& [name, server] : directory.servers()) {
-        const service_rule* service = routes.find_service(server.listing.service);
-        const bool may_order = service != nullptr && service->engine && server.is_listed && is_ours(server);
-        if (!may_order) {
+        server_plan* plan = find_plan(server, routes, is_ours);
+        if (plan == nullptr || plan->needs_report || !server.order_sequence) {
             continue;
         }
-        server_plan& plan = servers_[name];
-        if (plan.started_at != server.listing.started_at) {
-            const auto wants = std::move(plan.wants);
-            plan = {};
-            plan.wants = wants;
-            plan.started_at = server.listing.started_at;
-        }
         for (const auto& [ref, version] : server.listing.weights.adapters) {
-            plan.held_before.insert(ref);
+            plan->held_before.insert(ref);
         }
-        auto order = plan_server(plan, server, *service->engine, versions, now);
+        const engine_rule& engine = *routes.find_service(server.listing.service)->engine;
+        auto order = plan_server(*plan, server, engine, versions, now);
         if (order) {
-            plan.has_open_order = true;
+            plan->has_open_order = true;
             orders.push_back(std::move(*order));
         }
     }
     return orders;
 }
 
+std::vector<server_name> adapter_planner::next_reads(const backend_directory& directory,
+                                                     const route_table& routes,
+                                                     const std::function<bool(const backend&)>& is_ours,
+                                                     time_point now) {
+    std::vector<server_name> reads;
+    for (const auto& [name, server] : directory.servers()) {
+        server_plan* plan = find_plan(server, routes, is_ours);
+        const bool is_due = plan != nullptr && plan->needs_report && !plan->has_open_order &&
+                            now >= plan->retry_at && now - plan->last_accepted >= report_lag;
+        if (is_due) {
+            plan->has_open_order = true;
+            reads.push_back(name);
+        }
+    }
+    return reads;
+}
+
 std::optional<weights_order> adapter_planner::plan_server(server_plan& plan, const backend& server,
                                                           const engine_rule& engine,
                                                           const version_book& versions, time_point now) {
@@ -88,7 +117,7 @@
     order.started_at = server.listing.started_at;
     order.operation = operation;
     order.weights = ref;
-    order.expected_sequence = server.listing.order_sequence;
+    order.expected_sequence = server.order_sequence;
     return order;
 }
 
@@ -207,48 +236,67 @@
     plan.has_open_order = false;
     const bool is_check = !order.expected_sequence.has_value();
     server_listing& listing = server->listing;
+    const bool is_load = order.operation == order_operation::load;
     if (outcome == order_outcome::unknown) {
         plan.retry_at = now + refused_pause;
-        if (order.operation == order_operation::load && !is_check) {
+        plan.needs_report = true;
+        if (is_load && !is_check) {
             plan.uncertain[order.weights] = now + settings_.uncertain_hold;
         }
-        return true;
+        return false;
     }
     if (outcome == order_outcome::conflict) {
-        plan.retry_at = now + refused_pause / 3;
-        return !is_check;
+        plan.needs_report = plan.needs_report || !is_check;
+        return false;
     }
     if (outcome == order_outcome::refused || outcome == order_outcome::fenced) {
         plan.retry_at = now + refused_pause;
+        plan.needs_report = true;
         plan.coming.erase(order.weights);
-        plan.wants.erase(order.weights);
-        return true;
+        return false;
+    }
+    if (is_check && outcome == order_outcome::accepted) {
+        // A check that began a load anew counts as an order; which of the two it was only a report tells.
+        return false;
+    }
+    if (!is_check && outcome == order_outcome::accepted) {
+        server->order_sequence = server->order_sequence.value_or(0) + 1;
+        plan.last_accepted = now;
     }
     if (order.weights.is_base()) {
         return false;
     }
-    if (order.operation == order_operation::unload) {
+    if (!is_load) {
         listing.weights.adapters.erase(order.weights);
-        ++listing.order_sequence;
-        return outcome == order_outcome::accepted;
+        if (outcome == order_outcome::holds) {
+            server->order_sequence = server->order_sequence.value_or(0) + 1;
+            plan.last_accepted = now;
+        }
+        return true;
     }
     if (outcome == order_outcome::holds) {
         plan.coming.erase(order.weights);
         plan.uncertain.erase(order.weights);
         plan.wants.erase(order.weights);
         listing.weights.adapters[order.weights] = order.version.value_or(1);
-        return false;
-    }
-    if (is_check) {
-        return false;
+        server->weights_told = now;
+        return true;
     }
-    ++listing.order_sequence;
-    const bool is_warm = plan.held_before.contains(order.weights) && !listing.weights.adapters.contains(order.weights);
+    const bool is_warm =
+        plan.held_before.contains(order.weights) && !listing.weights.adapters.contains(order.weights);
     const duration load_time = is_warm ? settings_.warm_load_time : settings_.load_time;
     plan.coming[order.weights] = {now + load_time, now, order.version};
     return false;
 }
 
+void adapter_planner::on_report_missing(const server_name& name, time_point now) {
+    const auto found = servers_.find(name);
+    if (found != servers_.end()) {
+        found->second.has_open_order = false;
+        found->second.retry_at = now + refused_pause;
+    }
+}
+
 void adapter_planner::on_report(backend_directory& directory, const server_name& name,
                                 std::uint64_t started_at, std::uint64_t sequence, const held_weights& weights,
                                 const std::set<adapter_ref>& coming, time_point now) {
@@ -257,7 +305,8 @@
         return;
     }
     server_plan& plan = found->second;
-    directory.on_weights(name, started_at, sequence, weights);
+    plan.has_open_order = false;
+    plan.needs_report = !directory.on_weights(name, started_at, sequence, weights, now);
     std::erase_if(plan.coming, [&](const auto& entry) {
         return !coming.contains(entry.first) && now - entry.second.since > load_limit;
     });
--- a/modules/serving/backend_directory.cpp
+++ b/modules/serving/backend_directory.cpp
@@ -10,6 +10,8 @@
 /** Longest pause; below the three check-ins after which the platform drops a silent server. */
 constexpr auto longest_avoidance = std::chrono::milliseconds{2000};
 constexpr std::uint32_t doublings_limit = 3;
+/** What a holder told goes before the platform's entry for this long: entries lag by a check-in and more. */
+constexpr auto holder_word_valid = std::chrono::seconds{4};
 /** Pause after a full server refused a request; about the time of a few of its requests. */
 constexpr auto refused_avoidance = std::chrono::milliseconds{100};
 
@@ -70,10 +72,9 @@
     const bool was_usable = server.is_listed && !server.is_leaving;
     server.is_listed = true;
     server.is_leaving = server.is_leaving || listing.is_leaving;
-    if (listing.order_sequence < server.listing.order_sequence) {
-        // The entry was written before orders whose outcome is known here.
+    if (server.order_sequence && now - server.weights_told < holder_word_valid) {
+        // The entry may have been written before orders whose outcome is known here.
         listing.weights = server.listing.weights;
-        listing.order_sequence = server.listing.order_sequence;
     }
     server.listing = std::move(listing);
     return was_usable != (server.is_listed && !server.is_leaving);
@@ -112,14 +113,15 @@
 }
 
 bool backend_directory::on_weights(const server_name& name, std::uint64_t started_at, std::uint64_t sequence,
-                                   held_weights weights) {
+                                   held_weights weights, time_point now) {
     backend* server = find(name);
     const bool is_current = server != nullptr && server->listing.started_at == started_at &&
-                            server->listing.order_sequence <= sequence;
+                            server->order_sequence.value_or(0) <= sequence;
     if (!is_current) {
         return false;
     }
-    server->listing.order_sequence = sequence;
+    server->order_sequence = sequence;
+    server->weights_told = now;
     server->listing.weights = std::move(weights);
     return true;
 }
--- a/modules/serving/include/lovageledge/serving/adapter_planner.hpp
+++ b/modules/serving/include/lovageledge/serving/adapter_planner.hpp
@@ -94,11 +94,17 @@
                                            const version_book& versions,
                                            const std::function<bool(const backend&)>& is_ours, time_point now);
 
-    /** Takes the outcome of an order.
-        @returns true if the server's weights should be read from the server itself */
+    /** Servers that must be asked what they hold, before they get orders. The caller asks them all.
+        @param is_ours as for next_orders() */
+    std::vector<server_name> next_reads(const backend_directory& directory, const route_table& routes,
+                                        const std::function<bool(const backend&)>& is_ours, time_point now);
+
+    /** Takes the outcome of an order. @returns true if what the server holds has changed by it */
     bool on_outcome(backend_directory& directory, const weights_order& order, order_outcome outcome,
                     time_point now);
-    /** Takes what a server reports of itself after a conflict. @param coming adapters on their way */
+    /** A server did not report. */
+    void on_report_missing(const server_name& server, time_point now);
+    /** Takes what a server reports of itself. @param coming adapters on their way */
     void on_report(backend_directory& directory, const server_name& server, std::uint64_t started_at,
                    std::uint64_t sequence, const held_weights& weights, const std::set<adapter_ref>& coming,
                    time_point now);
@@ -112,6 +118,10 @@
     struct server_plan {
         std::uint64_t started_at = 0;
         bool has_open_order = false;
+        /** What the server holds has to be read from it before the next order. */
+        bool needs_report = true;
+        /** When the last order was accepted: reports lag behind it. */
+        time_point last_accepted{};
         std::map<adapter_ref, time_point> wants;
         std::map<adapter_ref, time_point> last_used;
         std::map<adapter_ref, incoming_load> coming;
@@ -123,6 +133,8 @@
         time_point retry_at{};
     };
 
+    server_plan* find_plan(const backend& server, const route_table& routes,
+                           const std::function<bool(const backend&)>& is_ours);
     std::optional<weights_order> plan_server(server_plan& plan, const backend& server,
                                              const engine_rule& engine, const version_book& versions,
                                              time_point now);
--- a/modules/serving/include/lovageledge/serving/backend_directory.hpp
+++ b/modules/serving/include/lovageledge/serving/backend_directory.hpp
@@ -40,8 +40,6 @@
     bool is_leaving = false;
     /** Unix time of the server's start in milliseconds; tells two starts under one name apart. */
     std::uint64_t started_at = 0;
-    /** Orders that this start has accepted. */
-    std::uint64_t order_sequence = 0;
     held_weights weights;
 };
 
@@ -64,6 +62,10 @@
 /** All that this instance believes of one start of a backend server. */
 struct backend {
     server_listing listing;
+    /** Orders that this start has accepted; nothing until the server itself or its holder has told. */
+    std::optional<std::uint64_t> order_sequence;
+    /** When the holder of the server's orders last told what it holds. */
+    time_point weights_told{};
     /** Set while the platform lists it; a server that is not listed takes no new work. */
     bool is_listed = true;
     bool is_leaving = false;
@@ -110,7 +112,7 @@
     /** Takes what the holder of a server's orders says that it holds.
         @returns false if the word is older than what is known, or of another start */
     bool on_weights(const server_name& name, std::uint64_t started_at, std::uint64_t sequence,
-                    held_weights weights);
+                    held_weights weights, time_point now);
     /** The server refused a request since it does not hold the adapter. */
     void on_adapter_missing(const server_name& name, const adapter_ref& ref);
 
--- a/modules/transport/forwarding_connection.cpp
+++ b/modules/transport/forwarding_connection.cpp
@@ -1,6 +1,7 @@
 #include "lovageledge/transport/forwarding_connection.hpp"
 
 #include <charconv>
+#include <limits>
 #include <netinet/tcp.h>
 
 namespace lovageledge {
@@ -122,7 +123,7 @@
     }
     parser_.emplace();
     parser_->header_limit(head_limit_bytes);
-    parser_->body_limit(boost::none);
+    parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
     stream_.expires_at(limit);
     boost::system::error_code code;
     co_await http::async_read_header(stream_, buffer_, *parser_,
