--- a/modules/serving/adapter_planner.cpp
+++ b/modules/serving/adapter_planner.cpp
@@ -7,6 +7,8 @@
 
 /** Pause after a server refused an order, so that a refusal is not answered by the same order at once. */
 constexpr auto refused_pause = std::chrono::milliseconds{300};
+/** Pause after a conflict: an order that waits for runs to end keeps others out. */
+constexpr auto conflict_pause = std::chrono::milliseconds{150};
 /** A load that is not there after this long is ordered again. */
 constexpr auto load_limit = std::chrono::seconds{4};
 /** A report may be this old. */
@@ -24,7 +26,7 @@
 
 void adapter_planner::on_wanted(const server_name& server, const adapter_ref& ref, time_point now) {
     server_plan& plan = servers_[server];
-    plan.wants[ref] = now;
+    plan.wants.try_emplace(ref, now, now).first->second.second = now;
     plan.last_used[ref] = now;
 }
 
@@ -60,9 +62,6 @@
         if (plan == nullptr || plan->needs_report || !server.order_sequence) {
             continue;
         }
-        for (const auto& [ref, version] : server.listing.weights.adapters) {
-            plan->held_before.insert(ref);
-        }
         const engine_rule& engine = *routes.find_service(server.listing.service)->engine;
         auto order = plan_server(*plan, server, engine, versions, now);
         if (order) {
@@ -93,7 +92,7 @@
 std::optional<weights_order> adapter_planner::plan_server(server_plan& plan, const backend& server,
                                                           const engine_rule& engine,
                                                           const version_book& versions, time_point now) {
-    std::erase_if(plan.wants, [&](const auto& want) { return want.second + settings_.want_valid < now; });
+    std::erase_if(plan.wants, [&](const auto& want) { return want.second.second + settings_.want_valid < now; });
     std::erase_if(plan.uncertain, [&](const auto& entry) { return entry.second < now; });
     if (plan.has_open_order || server.is_leaving || now < plan.retry_at) {
         return std::nullopt;
@@ -104,9 +103,6 @@
     if (auto order = plan_check(plan, server, now)) {
         return order;
     }
-    if (auto order = plan_replacement(plan, server, versions, now)) {
-        return order;
-    }
     return plan_want(plan, server, engine, versions, now);
 }
 
@@ -153,25 +149,6 @@
     return std::nullopt;
 }
 
-std::optional<weights_order> adapter_planner::plan_replacement(server_plan& plan, const backend& server,
-                                                               const version_book& versions,
-                                                               time_point now) const {
-    if (plan.coming.size() >= settings_.loads_per_server) {
-        return std::nullopt;
-    }
-    for (const auto& [ref, version] : server.listing.weights.adapters) {
-        const auto newest = versions.newest(ref);
-        if (!newest || *newest <= version || plan.coming.contains(ref)) {
-            continue;
-        }
-        weights_order order = make_order(server, order_operation::load, ref);
-        order.version = newest;
-        return order;
-    }
-    (void)now;
-    return std::nullopt;
-}
-
 std::optional<adapter_ref> adapter_planner::pick_victim(const server_plan& plan, const backend& server,
                                                         time_point now) const {
     std::optional<adapter_ref> victim;
@@ -193,35 +170,48 @@
     return victim;
 }
 
+std::optional<adapter_ref> adapter_planner::oldest_want(const server_plan& plan, const backend& server,
+                                                        const version_book& versions, time_point now) const {
+    std::optional<adapter_ref> oldest;
+    time_point oldest_time{};
+    for (const auto& [ref, want] : plan.wants) {
+        const auto held = server.listing.weights.version_of(ref);
+        const auto required = versions.required(ref, now);
+        const bool is_outdated = held && required && *held < *required;
+        // A replacement waits for the runs of the old version, and keeps all other orders out meanwhile.
+        const bool is_settled = ref.is_base() || (held && !is_outdated) || plan.coming.contains(ref) ||
+                                plan.uncertain.contains(ref) || (is_outdated && is_used_(server, ref));
+        const bool is_model_there = server.listing.weights.models.contains(ref.model);
+        if (!is_settled && is_model_there && (!oldest || want.first < oldest_time)) {
+            oldest = ref;
+            oldest_time = want.first;
+        }
+    }
+    return oldest;
+}
+
 std::optional<weights_order> adapter_planner::plan_want(server_plan& plan, const backend& server,
                                                         const engine_rule& engine,
                                                         const version_book& versions, time_point now) const {
     if (plan.coming.size() >= settings_.loads_per_server) {
         return std::nullopt;
     }
-    const auto& held = server.listing.weights.adapters;
-    for (const auto& [ref, since] : plan.wants) {
-        const bool is_settled = ref.is_base() || held.contains(ref) || plan.coming.contains(ref) ||
-                                plan.uncertain.contains(ref);
-        if (is_settled || !server.listing.weights.models.contains(ref.model)) {
-            continue;
-        }
-        std::size_t places = held.size() + plan.uncertain.size();
-        for (const auto& [coming_ref, load] : plan.coming) {
-            places += held.contains(coming_ref) ? 0 : 1;
-        }
-        if (places < engine.adapter_slots) {
-            weights_order order = make_order(server, order_operation::load, ref);
-            order.version = versions.newest(ref);
-            return order;
-        }
-        const auto victim = pick_victim(plan, server, now);
-        if (victim) {
-            return make_order(server, order_operation::unload, *victim);
-        }
+    const auto ref = oldest_want(plan, server, versions, now);
+    if (!ref) {
         return std::nullopt;
     }
-    return std::nullopt;
+    const auto& held = server.listing.weights.adapters;
+    std::size_t places = held.size() + plan.uncertain.size();
+    for (const auto& [coming_ref, load] : plan.coming) {
+        places += held.contains(coming_ref) ? 0 : 1;
+    }
+    if (held.contains(*ref) || places < engine.adapter_slots) {
+        weights_order order = make_order(server, order_operation::load, *ref);
+        order.version = versions.newest(*ref);
+        return order;
+    }
+    const auto victim = pick_victim(plan, server, now);
+    return victim ? std::optional{make_order(server, order_operation::unload, *victim)} : std::nullopt;
 }
 
 bool adapter_planner::on_outcome(backend_directory& directory, const weights_order& order,
@@ -246,7 +236,9 @@
         return false;
     }
     if (outcome == order_outcome::conflict) {
-        plan.needs_report = plan.needs_report || !is_check;
+        // Either the count differs, or an order waits for runs to end; only a report can tell.
+        plan.needs_report = true;
+        plan.retry_at = now + conflict_pause;
         return false;
     }
     if (outcome == order_outcome::refused || outcome == order_outcome::fenced) {
@@ -283,7 +275,7 @@
         return true;
     }
     const bool is_warm =
-        plan.held_before.contains(order.weights) && !listing.weights.adapters.contains(order.weights);
+        server->held_before.contains(order.weights) && !listing.weights.adapters.contains(order.weights);
     const duration load_time = is_warm ? settings_.warm_load_time : settings_.load_time;
     plan.coming[order.weights] = {now + load_time, now, order.version};
     return false;
@@ -307,6 +299,7 @@
     server_plan& plan = found->second;
     plan.has_open_order = false;
     plan.needs_report = !directory.on_weights(name, started_at, sequence, weights, now);
+    plan.retry_at = plan.needs_report ? now + refused_pause : plan.retry_at;
     std::erase_if(plan.coming, [&](const auto& entry) {
         return !coming.contains(entry.first) && now - entry.second.since > load_limit;
     });
--- a/modules/serving/backend_directory.cpp
+++ b/modules/serving/backend_directory.cpp
@@ -10,6 +10,8 @@
 /** Longest pause; below the three check-ins after which the platform drops a silent server. */
 constexpr auto longest_avoidance = std::chrono::milliseconds{2000};
 constexpr std::uint32_t doublings_limit = 3;
+/** Adapters that an engine keeps in its host's memory, about; the platform does not tell the number. */
+constexpr std::size_t remembered_adapters = 50;
 /** What a holder told goes before the platform's entry for this long: entries lag by a check-in and more. */
 constexpr auto holder_word_valid = std::chrono::seconds{4};
 /** Pause after a full server refused a request; about the time of a few of its requests. */
@@ -47,6 +49,17 @@
                        [&](const auto& entry) { return entry.second.in_use.contains(ref); });
 }
 
+void backend::remember_weights(time_point now) {
+    for (const auto& [ref, version] : listing.weights.adapters) {
+        held_before[ref] = now;
+    }
+    while (held_before.size() > remembered_adapters) {
+        held_before.erase(std::min_element(
+            held_before.begin(), held_before.end(),
+            [](const auto& left, const auto& right) { return left.second < right.second; }));
+    }
+}
+
 void backend_directory::clear_peer_work(const instance_name& peer) {
     for (auto& [name, server] : servers_) {
         server.peer_work.erase(peer);
@@ -62,6 +75,7 @@
         fresh.is_leaving = listing.is_leaving;
         fresh.load_reported = now;
         fresh.listing = std::move(listing);
+        fresh.remember_weights(now);
         servers_.insert_or_assign(fresh.listing.name, std::move(fresh));
         return true;
     }
@@ -77,6 +91,7 @@
         listing.weights = server.listing.weights;
     }
     server.listing = std::move(listing);
+    server.remember_weights(now);
     return was_usable != (server.is_listed && !server.is_leaving);
 }
 
@@ -123,6 +138,7 @@
     server->order_sequence = sequence;
     server->weights_told = now;
     server->listing.weights = std::move(weights);
+    server->remember_weights(now);
     return true;
 }
 
--- a/modules/serving/include/lovageledge/serving/adapter_planner.hpp
+++ b/modules/serving/include/lovageledge/serving/adapter_planner.hpp
@@ -122,13 +122,12 @@
         bool needs_report = true;
         /** When the last order was accepted: reports lag behind it. */
         time_point last_accepted{};
-        std::map<adapter_ref, time_point> wants;
+        /** When each adapter was first and last wanted. */
+        std::map<adapter_ref, std::pair<time_point, time_point>> wants;
         std::map<adapter_ref, time_point> last_used;
         std::map<adapter_ref, incoming_load> coming;
         /** Loads without an answer, that may still take a place. */
         std::map<adapter_ref, time_point> uncertain;
-        /** Adapters held since the start, which load faster. */
-        std::set<adapter_ref> held_before;
         time_point model_ordered{};
         time_point retry_at{};
     };
@@ -139,8 +138,8 @@
                                              const engine_rule& engine, const version_book& versions,
                                              time_point now);
     std::optional<weights_order> plan_check(server_plan& plan, const backend& server, time_point now) const;
-    std::optional<weights_order> plan_replacement(server_plan& plan, const backend& server,
-                                                  const version_book& versions, time_point now) const;
+    std::optional<adapter_ref> oldest_want(const server_plan& plan, const backend& server,
+                                           const version_book& versions, time_point now) const;
     std::optional<weights_order> plan_model(server_plan& plan, const backend& server,
                                             const engine_rule& engine, time_point now);
     std::optional<weights_order> plan_want(server_plan& plan, const backend& server, const engine_rule& engine,
--- a/modules/serving/include/lovageledge/serving/backend_directory.hpp
+++ b/modules/serving/include/lovageledge/serving/backend_directory.hpp
@@ -66,6 +66,8 @@
     std::optional<std::uint64_t> order_sequence;
     /** When the holder of the server's orders last told what it holds. */
     time_point weights_told{};
+    /** Adapters that this start has held, with the time when it was last seen to; they load faster. */
+    std::map<adapter_ref, time_point> held_before;
     /** Set while the platform lists it; a server that is not listed takes no new work. */
     bool is_listed = true;
     bool is_leaving = false;
@@ -88,6 +90,8 @@
 
     std::uint32_t total_in_flight() const;
     std::uint64_t total_pending_tokens() const;
+    /** Notes what the server holds now among the adapters that load faster. */
+    void remember_weights(time_point now);
     /** @returns true if another gateway has a request for the adapter there */
     bool peers_use(const adapter_ref& ref) const;
 };
--- a/modules/serving/include/lovageledge/serving/server_selector.hpp
+++ b/modules/serving/include/lovageledge/serving/server_selector.hpp
@@ -51,8 +51,11 @@
     duration cold_load = std::chrono::milliseconds{280};
     /** Time for an adapter that the server held recently. */
     duration warm_load = std::chrono::milliseconds{60};
+    /** Wait that is accepted before an adapter is fetched from the store once more: each fetch is billed, at
+        the price of some ten requests' bytes to another region. */
+    duration fetch_penalty = std::chrono::milliseconds{700};
     /** Wait that is accepted before work goes to another region: its bytes are billed. */
-    duration remote_engine_penalty = std::chrono::milliseconds{350};
+    duration remote_engine_penalty = std::chrono::milliseconds{120};
     duration remote_plain_penalty = std::chrono::milliseconds{60};
     /** Time of a plain service's request, for the length of a queue. */
     duration plain_work = std::chrono::milliseconds{40};
@@ -94,6 +97,8 @@
     /** @returns true if the server holds what the request names, in a version that may serve */
     static bool holds(const backend& server, const version_book& versions, const work_item& work,
                       time_point now);
+    /** @returns true if a newer version was announced than the one that the server held last */
+    static bool is_outdated(const backend& server, const version_book& versions, const work_item& work);
     /** Notes that a prompt was sent, so that later ones with the same parts follow it. */
     static void note_sent(backend& server, const work_item& work, time_point now);
 
--- a/modules/serving/server_selector.cpp
+++ b/modules/serving/server_selector.cpp
@@ -75,6 +75,13 @@
     return held && (!required || *held >= *required);
 }
 
+bool server_selector::is_outdated(const backend& server, const version_book& versions,
+                                  const work_item& work) {
+    const auto held = server.listing.weights.version_of(work.weights);
+    const auto newest = versions.newest(work.weights);
+    return newest && held.value_or(0) < *newest;
+}
+
 std::optional<server_choice> server_selector::pick(backend_directory& directory, const version_book& versions,
                                                    const work_item& work, time_point now) const {
     std::optional<server_choice> best;
@@ -103,8 +110,9 @@
                              !is_local_(server->listing.zone), estimate_(*server, work, now)};
         duration cost = choice.estimate;
         if (choice.needs_load) {
-            choice.estimate += settings_.cold_load;
-            cost += settings_.cold_load;
+            const bool is_warm = server->held_before.contains(work.weights) && !is_outdated(*server, versions, work);
+            choice.estimate += is_warm ? settings_.warm_load : settings_.cold_load;
+            cost += is_warm ? settings_.warm_load : settings_.cold_load + settings_.fetch_penalty;
         }
         if (choice.needs_load && server != home) {
             cost += settings_.other_home;
