Holders elsewhere hear which adapters are in use; loads avoid servers without a free place

Cause: evictions hit adapters that requests from other data centres used; the server then took no other order until those runs ended (409), and requests waited to their deadline for a load there. Ruled out: the sequence of orders (it was right), the store's rate.

--- a/modules/gateway/include/lovageledge/gateway/order_desk.hpp
+++ b/modules/gateway/include/lovageledge/gateway/order_desk.hpp
@@ -94,7 +94,9 @@
     void send(const instance_name& to, protocol::Envelope& message);
     void send_to_data_centre(protocol::Envelope& message);
     void connect(const instance_name& name, peer& entry);
-    protocol::GatewayState current_state();
+    /** @param for_servers_of only these servers' work; empty for all */
+    protocol::GatewayState current_state(const data_centre_name& for_servers_of);
+    void tell_remote_holders();
     void log_order(const weights_order& order, const order_result& result);
 
     asio::io_context& context_;
@@ -107,6 +109,8 @@
     std::map<data_centre_name, instance_name> remote_holders_;
     /** Gateways of other data centres that last wanted weights on a server. */
     std::map<server_name, instance_name> remote_requesters_;
+    /** The last state message to each remote holder. */
+    std::map<data_centre_name, std::string> told_remotely_;
     std::map<std::string, std::uint64_t> record_revisions_;
     std::multimap<server_name, load_waiter> waiters_;
     /** Adapters that were used since the last state message. */
--- a/modules/gateway/order_desk.cpp
+++ b/modules/gateway/order_desk.cpp
@@ -64,7 +64,7 @@
               [](const error& why) { spdlog::warn("{}", why.text()); }},
       planner_{planner_settings{}}, plan_timer_{context} {
     planner_.set_usage([](const backend& server, const adapter_ref& ref) {
-        return server.adapters_in_use.contains(ref) || server.peers_use(ref);
+        return server.is_in_use(ref);
     });
 }
 
@@ -82,7 +82,7 @@
 void order_desk::stop() {
     is_stopped_ = true;
     protocol::Envelope message;
-    *message.mutable_gateway_state() = current_state();
+    *message.mutable_gateway_state() = current_state({});
     send_to_data_centre(message);
     if (holds_domain()) {
         asio::co_spawn(context_, take_domain(""), asio::detached);
@@ -290,14 +290,15 @@
     }
 }
 
-protocol::GatewayState order_desk::current_state() {
+protocol::GatewayState order_desk::current_state(const data_centre_name& for_servers_of) {
     protocol::GatewayState message;
     message.set_data_centre(state_.settings.data_centre.text());
     message.set_stopping(is_stopped_);
     for (const auto& [name, server] : state_.directory.servers()) {
         const auto used = recently_used_.find(name);
         const bool is_idle = server.in_flight == 0 && used == recently_used_.end();
-        if (is_idle) {
+        const bool is_meant = for_servers_of.is_empty() || server.listing.zone == for_servers_of;
+        if (is_idle || !is_meant) {
             continue;
         }
         protocol::ServerWork& work = *message.add_work();
@@ -313,10 +314,23 @@
             }
         }
     }
-    recently_used_.clear();
     return message;
 }
 
+void order_desk::tell_remote_holders() {
+    // Paths between regions are billed: the holders elsewhere hear only what has changed, of their own servers.
+    for (const auto& [data_centre, holder] : remote_holders_) {
+        protocol::Envelope message;
+        *message.mutable_gateway_state() = current_state(data_centre);
+        std::string bytes = message.SerializeAsString();
+        std::string& told = told_remotely_[data_centre];
+        if (bytes != told) {
+            told = std::move(bytes);
+            send(holder, message);
+        }
+    }
+}
+
 asio::awaitable<void> order_desk::state_loop() {
     asio::steady_timer timer{context_};
     while (true) {
@@ -326,8 +340,10 @@
         }
         last_tick_ = now;
         protocol::Envelope message;
-        *message.mutable_gateway_state() = current_state();
+        *message.mutable_gateway_state() = current_state({});
         send_to_data_centre(message);
+        tell_remote_holders();
+        recently_used_.clear();
         check_domain();
         timer.expires_after(state_interval);
         boost::system::error_code ignored;
--- a/modules/gateway/request_flow.cpp
+++ b/modules/gateway/request_flow.cpp
@@ -18,6 +18,8 @@
 constexpr auto idle_limit = std::chrono::seconds{60};
 /** Longest wait for the load of an adapter before another server is considered. */
 constexpr auto load_wait_limit = milliseconds{600};
+/** A server that did not load in time is not asked for loads for this long, if others can. */
+constexpr auto blocked_load_time = milliseconds{800};
 /** Silence within an idempotent stream after which another server resumes it. */
 constexpr auto stream_silence_limit = milliseconds{2500};
 /** An idempotent request is repeated elsewhere after this many times its latency target without an answer. */
@@ -105,6 +107,7 @@
     const service_rule* service = routes_->find_service(work_.service);
     if (service != nullptr && service->engine) {
         work_.weights = facts_.weights;
+        work_.adapter_places = service->engine->adapter_slots;
     }
     work_.prompt_tokens = facts_.prompt_tokens;
     work_.prompt_parts = facts_.prompt_parts;
@@ -173,6 +176,9 @@
         if (is_held) {
             continue;
         }
+        if (backend* server = state_.directory.find(choice->server); server != nullptr) {
+            server->loads_blocked_until = state_.now() + blocked_load_time;
+        }
         if (state_.now() - started_ > (deadline_ - started_) / 2) {
             last_problem_ = "the adapter was not loaded in time";
             co_return std::nullopt;
--- a/modules/serving/backend_directory.cpp
+++ b/modules/serving/backend_directory.cpp
@@ -49,6 +49,14 @@
                        [&](const auto& entry) { return entry.second.in_use.contains(ref); });
 }
 
+std::size_t backend::available_places(std::size_t places) const {
+    std::size_t used = 0;
+    for (const auto& [ref, version] : listing.weights.adapters) {
+        used += is_in_use(ref) ? 1 : 0;
+    }
+    return places > used ? places - used : 0;
+}
+
 void backend::remember_weights(time_point now) {
     for (const auto& [ref, version] : listing.weights.adapters) {
         held_before[ref] = now;
--- a/modules/serving/include/lovageledge/serving/backend_directory.hpp
+++ b/modules/serving/include/lovageledge/serving/backend_directory.hpp
@@ -85,11 +85,18 @@
     time_point avoid_until{};
     /** When the prompt part was last sent here, by adapter and part. */
     std::map<std::pair<adapter_ref, std::string>, time_point> prompt_parts;
+    /** Loads were not done in time: they are asked for elsewhere until this time. */
+    time_point loads_blocked_until{};
     /** Requests of this instance that run or wait there, by adapter. */
     std::map<adapter_ref, std::uint32_t> adapters_in_use;
 
     std::uint32_t total_in_flight() const;
     std::uint64_t total_pending_tokens() const;
+    /** @returns true if any gateway is known to have a request for the adapter there */
+    bool is_in_use(const adapter_ref& ref) const { return adapters_in_use.contains(ref) || peers_use(ref); }
+    /** @returns places that are free, or held by an adapter that no request is known to use.
+        @param places of the server in all */
+    std::size_t available_places(std::size_t places) const;
     /** Notes what the server holds now among the adapters that load faster. */
     void remember_weights(time_point now);
     /** @returns true if another gateway has a request for the adapter there */
--- a/modules/serving/include/lovageledge/serving/server_selector.hpp
+++ b/modules/serving/include/lovageledge/serving/server_selector.hpp
@@ -25,6 +25,8 @@
     request_kind kind = request_kind::unsafe;
     /** Empty for plain services. */
     adapter_ref weights;
+    /** Places for adapters on each server of the service. */
+    std::uint32_t adapter_places = 0;
     std::uint32_t prompt_tokens = 0;
     std::vector<prompt_part> prompt_parts;
     /** Servers that refused or failed this request. */
@@ -54,6 +56,10 @@
     /** Wait that is accepted before an adapter is fetched from the store once more: each fetch is billed, at
         the price of some ten requests' bytes to another region. */
     duration fetch_penalty = std::chrono::milliseconds{700};
+    /** Added where no place can be freed, since requests use all adapters there. */
+    duration no_place_penalty = std::chrono::milliseconds{2000};
+    /** Added where a load was not done in time lately. */
+    duration blocked_load_penalty = std::chrono::milliseconds{1000};
     /** Wait that is accepted before work goes to another region: its bytes are billed. */
     duration remote_engine_penalty = std::chrono::milliseconds{120};
     duration remote_plain_penalty = std::chrono::milliseconds{60};
@@ -106,6 +112,8 @@
     std::uint32_t uncached_tokens(const backend& server, const work_item& work, time_point now) const;
 
 private:
+    /** @returns what a load of the adapter there costs, beyond the time that it takes */
+    duration load_penalty(const backend& server, const work_item& work, bool is_warm, time_point now) const;
     duration estimate_engine(const backend& server, const work_item& work, time_point now) const;
     duration estimate_plain(const backend& server, time_point now) const;
 
--- a/modules/serving/server_selector.cpp
+++ b/modules/serving/server_selector.cpp
@@ -82,6 +82,18 @@
     return newest && held.value_or(0) < *newest;
 }
 
+duration server_selector::load_penalty(const backend& server, const work_item& work, bool is_warm,
+                                       time_point now) const {
+    duration penalty = is_warm ? duration::zero() : settings_.fetch_penalty;
+    if (server.available_places(work.adapter_places) == 0) {
+        penalty += settings_.no_place_penalty;
+    }
+    if (server.loads_blocked_until > now) {
+        penalty += settings_.blocked_load_penalty;
+    }
+    return penalty;
+}
+
 std::optional<server_choice> server_selector::pick(backend_directory& directory, const version_book& versions,
                                                    const work_item& work, time_point now) const {
     std::optional<server_choice> best;
@@ -111,8 +123,9 @@
         duration cost = choice.estimate;
         if (choice.needs_load) {
             const bool is_warm = server->held_before.contains(work.weights) && !is_outdated(*server, versions, work);
-            choice.estimate += is_warm ? settings_.warm_load : settings_.cold_load;
-            cost += is_warm ? settings_.warm_load : settings_.cold_load + settings_.fetch_penalty;
+            const duration load = is_warm ? settings_.warm_load : settings_.cold_load;
+            choice.estimate += load;
+            cost += load + load_penalty(*server, work, is_warm, now);
         }
         if (choice.needs_load && server != home) {
             cost += settings_.other_home;
