--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -301,8 +301,8 @@
 void http_server::close_idle_connections() {
     is_closing_ = true;
     for (beast::tcp_stream* stream : idle_streams_) {
-        boost::system::error_code ignored;
-        stream->socket().shutdown(asio::socket_base::shutdown_both, ignored);
+        // A read that has ended already is not cancelled: its request is served.
+        stream->cancel();
     }
 }
 
