--- a/modules/gateway/gateway_settings.cpp
+++ b/modules/gateway/gateway_settings.cpp
@@ -55,6 +55,26 @@
     return local;
 }
 
+void read_policy(settings_reader& reader, gateway_settings& settings) {
+    const std::string section = "policy";
+    selector_settings& selector = settings.selector;
+    read_fraction(reader, section, "prefill_tokens_per_ms", selector.prefill_tokens_per_ms);
+    reader.time_ms(section, "cold_load_ms", selector.cold_load);
+    reader.time_ms(section, "warm_load_ms", selector.warm_load);
+    reader.time_ms(section, "fetch_penalty_ms", selector.fetch_penalty);
+    reader.time_ms(section, "displacement_penalty_ms", selector.displacement_penalty);
+    reader.time_ms(section, "no_place_penalty_ms", selector.no_place_penalty);
+    reader.time_ms(section, "blocked_load_penalty_ms", selector.blocked_load_penalty);
+    reader.time_ms(section, "remote_engine_penalty_ms", selector.remote_engine_penalty);
+    reader.time_ms(section, "remote_plain_penalty_ms", selector.remote_plain_penalty);
+    reader.time_ms(section, "engine_waiting_ms", selector.engine_waiting);
+    reader.time_ms(section, "engine_running_ms", selector.engine_running);
+    reader.time_ms(section, "other_home_ms", selector.other_home);
+    reader.time_ms(section, "recent_use_ms", settings.planner.recent_use);
+    reader.time_ms(section, "load_wait_ms", settings.load_wait);
+    reader.share(section, "wait_share_percent", settings.wait_share);
+}
+
 } // namespace
 
 std::optional<gateway_settings> parse_gateway_settings(const std::string& text,
@@ -86,6 +106,7 @@
     read_fraction(reader, "bounds", "retry_ratio", settings.retries.ratio);
     read_fraction(reader, "bounds", "retry_extra", settings.retries.extra);
     read_seconds(reader, "retry_window_s", settings.retries.window);
+    read_policy(reader, settings);
     reader.text("log", "level", settings.log_level);
     reader.number("limits", "connections", settings.connections, 16, 1'000'000);
     reader.reject_unknown();
--- a/modules/gateway/include/lovageledge/gateway/gateway_settings.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway_settings.hpp
@@ -30,7 +30,12 @@
     /** Bound on the use of an older version of an adapter. */
     duration version_limit = std::chrono::milliseconds{5000};
     retry_allowance retries;
-    std::uint64_t memory_bytes = std::uint64_t{256} * 1024 * 1024;
+    selector_settings selector;
+    planner_settings planner;
+    /** Longest wait for a load before another server is considered. */
+    duration load_wait = std::chrono::milliseconds{600};
+    /** Share of its time that a request may wait for a server before it is refused. */
+    double wait_share = 0.5;
     std::uint32_t connections = 3000;
 };
 
--- a/modules/gateway/order_desk.cpp
+++ b/modules/gateway/order_desk.cpp
@@ -62,7 +62,7 @@
                   asio::post(context_, [this, message] { on_message(message); });
               },
               [](const error& why) { spdlog::warn("{}", why.text()); }},
-      planner_{planner_settings{}}, plan_timer_{context} {
+      planner_{state.settings.planner}, plan_timer_{context} {
     planner_.set_usage([](const backend& server, const adapter_ref& ref) {
         return server.is_in_use(ref);
     });
--- a/modules/gateway/request_flow.cpp
+++ b/modules/gateway/request_flow.cpp
@@ -16,8 +16,6 @@
     connections unannounced. */
 constexpr auto unsafe_idle_limit = milliseconds{300};
 constexpr auto idle_limit = std::chrono::seconds{60};
-/** Longest wait for the load of an adapter before another server is considered. */
-constexpr auto load_wait_limit = milliseconds{600};
 /** A server that did not load in time is not asked for loads for this long, if others can. */
 constexpr auto blocked_load_time = milliseconds{800};
 /** Silence within an idempotent stream after which another server resumes it. */
@@ -179,14 +177,14 @@
         }
         desk_.want(choice->server, work_.weights);
         const bool is_held =
-            co_await desk_.wait_for(choice->server, work_.weights, std::min<duration>(load_wait_limit, deadline_ - now));
+            co_await desk_.wait_for(choice->server, work_.weights, std::min(state_.settings.load_wait, deadline_ - now));
         if (is_held) {
             continue;
         }
         if (backend* server = state_.directory.find(choice->server); server != nullptr) {
             server->loads_blocked_until = state_.now() + blocked_load_time;
         }
-        if (state_.now() - started_ > (deadline_ - started_) / 2) {
+        if (state_.now() - started_ > (deadline_ - started_) * state_.settings.wait_share) {
             last_problem_ = "the adapter was not loaded in time";
             co_return std::nullopt;
         }
--- a/modules/serving/include/lovageledge/serving/server_selector.hpp
+++ b/modules/serving/include/lovageledge/serving/server_selector.hpp
@@ -56,6 +56,8 @@
     /** Wait that is accepted before an adapter is fetched from the store once more: each fetch is billed, at
         the price of some ten requests' bytes to another region. */
     duration fetch_penalty = std::chrono::milliseconds{700};
+    /** Added where a load evicts another adapter, which may soon be wanted again. */
+    duration displacement_penalty = std::chrono::milliseconds{200};
     /** Added where no place can be freed, since requests use all adapters there. */
     duration no_place_penalty = std::chrono::milliseconds{2000};
     /** Added where a load was not done in time lately. */
--- a/modules/serving/server_selector.cpp
+++ b/modules/serving/server_selector.cpp
@@ -87,6 +87,8 @@
     duration penalty = is_warm ? duration::zero() : settings_.fetch_penalty;
     if (server.available_places(work.adapter_places) == 0) {
         penalty += settings_.no_place_penalty;
+    } else if (server.listing.weights.adapters.size() >= work.adapter_places) {
+        penalty += settings_.displacement_penalty;
     }
     if (server.loads_blocked_until > now) {
         penalty += settings_.blocked_load_penalty;
