--- a/modules/gateway/include/lovageledge/gateway/order_desk.hpp
+++ b/modules/gateway/include/lovageledge/gateway/order_desk.hpp
@@ -109,8 +109,6 @@
     order_domain domain_;
     /** Holders of the other data centres' domains. */
     std::map<data_centre_name, instance_name> remote_holders_;
-    /** Gateways of other data centres that last wanted weights on a server. */
-    std::map<server_name, instance_name> remote_requesters_;
     /** The last state message to each remote holder. */
     std::map<data_centre_name, std::string> told_remotely_;
     std::map<std::string, std::uint64_t> record_revisions_;
--- a/modules/gateway/order_desk.cpp
+++ b/modules/gateway/order_desk.cpp
@@ -368,13 +368,15 @@
         on_peer_state(message.from(), message.gateway_state());
     } else if (message.has_weights_wanted()) {
         on_peer_wants(message.weights_wanted());
-        const auto* server = state_.directory.find(server_name{message.weights_wanted().server()});
-        if (server != nullptr && entry != peers_.end() &&
-            entry->second.data_centre != state_.settings.data_centre) {
-            remote_requesters_[server->listing.name] = entry->first;
-        }
     } else if (message.has_weights_held()) {
         on_peer_weights(message.weights_held());
+        const bool is_from_elsewhere =
+            entry != peers_.end() && entry->second.data_centre != state_.settings.data_centre;
+        if (is_from_elsewhere) {
+            protocol::Envelope relayed;
+            *relayed.mutable_weights_held() = message.weights_held();
+            send_to_data_centre(relayed);
+        }
     }
 }
 
@@ -446,9 +448,9 @@
         *held.add_weights() = to_message(ref, version);
     }
     send_to_data_centre(message);
-    const auto requester = remote_requesters_.find(server.listing.name);
-    if (requester != remote_requesters_.end()) {
-        send(requester->second, message);
+    // One gateway of each other data centre hears it and passes it on there.
+    for (const auto& [data_centre, holder] : remote_holders_) {
+        send(holder, message);
     }
     wake_waiters(server.listing.name);
 }
--- a/modules/serving/adapter_planner.cpp
+++ b/modules/serving/adapter_planner.cpp
@@ -270,6 +270,7 @@
         plan.wants.erase(order.weights);
         listing.weights.adapters[order.weights] = order.version.value_or(1);
         server->weights_told = now;
+        server->remember_weights(now);
         return true;
     }
     const bool is_warm =
--- a/modules/serving/include/lovageledge/serving/adapter_planner.hpp
+++ b/modules/serving/include/lovageledge/serving/adapter_planner.hpp
@@ -52,7 +52,7 @@
     /** Load time of one that the server held recently. */
     duration warm_load_time = std::chrono::milliseconds{40};
     /** Pause between checks of a load that is late. */
-    duration check_interval = std::chrono::milliseconds{120};
+    duration check_interval = std::chrono::milliseconds{30};
     /** Loads on their way to one server at a time; the engines' limit. */
     std::size_t loads_per_server = 4;
     /** Wants are forgotten after this long. */
