An adapter's first load is at a home that all gateways agree on; a server that lacked it may be asked again

Cause: gateways that needed the same adapter at the same time fetched it at several servers (273 of 1,158 first loads on a server), and a server that answered 421 was excluded for the request, so that it was fetched elsewhere. Ruled out: unknown holdings as the main cause (304 of 3,358 cold choices knew of another holder).

--- a/modules/gateway/gateway_settings.cpp
+++ b/modules/gateway/gateway_settings.cpp
@@ -64,6 +64,7 @@
     reader.time_ms(section, "fetch_penalty_ms", selector.fetch_penalty);
     reader.time_ms(section, "displacement_penalty_ms", selector.displacement_penalty);
     reader.time_ms(section, "no_place_penalty_ms", selector.no_place_penalty);
+    reader.time_ms(section, "full_penalty_ms", selector.full_penalty);
     reader.time_ms(section, "blocked_load_penalty_ms", selector.blocked_load_penalty);
     reader.time_ms(section, "remote_engine_penalty_ms", selector.remote_engine_penalty);
     reader.time_ms(section, "remote_plain_penalty_ms", selector.remote_plain_penalty);
--- a/modules/gateway/include/lovageledge/gateway/request_flow.hpp
+++ b/modules/gateway/include/lovageledge/gateway/request_flow.hpp
@@ -30,6 +30,8 @@
         finished,
         /** The server states that it did not run the request. */
         not_run,
+        /** Not run, since the server does not hold the adapter in the version that must serve. */
+        weights_missing,
         /** Nothing was sent to the server. */
         not_sent,
         /** It may have run, and the caller has nothing of it yet. */
--- a/modules/gateway/request_flow.cpp
+++ b/modules/gateway/request_flow.cpp
@@ -131,7 +131,10 @@
         if (end == attempt_end::finished) {
             co_return;
         }
-        work_.excluded.insert(choice->server);
+        // A server that lacked the adapter may load it; all others that failed are not asked again.
+        if (end != attempt_end::weights_missing) {
+            work_.excluded.insert(choice->server);
+        }
         if (!may_repeat(end, *choice)) {
             break;
         }
@@ -146,7 +149,7 @@
     if (end == attempt_end::not_sent) {
         return true;
     }
-    const bool may_have_run = end != attempt_end::not_run;
+    const bool may_have_run = end != attempt_end::not_run && end != attempt_end::weights_missing;
     if (may_have_run && (!route_->is_idempotent() || runs_ >= route_->max_attempts)) {
         return false;
     }
@@ -370,6 +373,7 @@
     } else if (facts.is_misdirected) {
         state_.directory.on_adapter_missing(server, work_.weights);
         desk_.want(server, work_.weights);
+        return attempt_end::weights_missing;
     } else {
         state_.directory.on_refused(server, state_.now());
     }
--- a/modules/serving/backend_directory.cpp
+++ b/modules/serving/backend_directory.cpp
@@ -82,6 +82,7 @@
         backend fresh;
         fresh.is_leaving = listing.is_leaving;
         fresh.load_reported = now;
+        fresh.name_hash = stable_hash(listing.name.text());
         fresh.listing = std::move(listing);
         fresh.remember_weights(now);
         servers_.insert_or_assign(fresh.listing.name, std::move(fresh));
@@ -173,7 +174,7 @@
 void backend_directory::on_refused(const server_name& name, time_point now) {
     backend* server = find(name);
     if (server != nullptr) {
-        server->avoid_until = std::max(server->avoid_until, now + refused_avoidance);
+        server->full_until = now + refused_avoidance;
     }
 }
 
--- a/modules/serving/include/lovageledge/serving/backend_directory.hpp
+++ b/modules/serving/include/lovageledge/serving/backend_directory.hpp
@@ -62,6 +62,8 @@
 /** All that this instance believes of one start of a backend server. */
 struct backend {
     server_listing listing;
+    /** Of the server's name, for rendezvous hashing. */
+    std::uint64_t name_hash = 0;
     /** Orders that this start has accepted; nothing until the server itself or its holder has told. */
     std::optional<std::uint64_t> order_sequence;
     /** When the holder of the server's orders last told what it holds. */
@@ -83,6 +85,8 @@
     std::uint32_t consecutive_failures = 0;
     /** No new work before this time, unless nobody else can take it. */
     time_point avoid_until{};
+    /** The server was full lately: others are preferred until this time. */
+    time_point full_until{};
     /** When the prompt part was last sent here, by adapter and part. */
     std::map<std::pair<adapter_ref, std::string>, time_point> prompt_parts;
     /** Loads were not done in time: they are asked for elsewhere until this time. */
--- a/modules/serving/include/lovageledge/serving/server_selector.hpp
+++ b/modules/serving/include/lovageledge/serving/server_selector.hpp
@@ -60,6 +60,8 @@
     duration displacement_penalty = std::chrono::milliseconds{200};
     /** Added where no place can be freed, since requests use all adapters there. */
     duration no_place_penalty = std::chrono::milliseconds{2000};
+    /** Added where the server refused a request as full lately. */
+    duration full_penalty = std::chrono::milliseconds{300};
     /** Added where a load was not done in time lately. */
     duration blocked_load_penalty = std::chrono::milliseconds{1000};
     /** Wait that is accepted before work goes to another region: its bytes are billed. */
@@ -75,8 +77,9 @@
     duration part_kept = std::chrono::seconds{20};
     /** A load report counts for this long. */
     duration report_valid = std::chrono::milliseconds{500};
-    /** Added to servers other than the adapter's preferred one, so that reloads find it in memory. */
-    duration other_home = std::chrono::milliseconds{40};
+    /** Added to a first load anywhere but at the adapter's home, which all gateways agree on: two of them that
+        need an adapter at the same time would fetch it twice. */
+    duration other_home = std::chrono::milliseconds{800};
 };
 
 /**
@@ -107,6 +110,8 @@
                       time_point now);
     /** @returns true if a newer version was announced than the one that the server held last */
     static bool is_outdated(const backend& server, const version_book& versions, const work_item& work);
+    /** @returns the server where an adapter is loaded first, by rendezvous hashing; nullptr without servers */
+    static const backend* find_home(const std::vector<backend*>& candidates, const adapter_ref& ref);
     /** Notes that a prompt was sent, so that later ones with the same parts follow it. */
     static void note_sent(backend& server, const work_item& work, time_point now);
 
--- a/modules/serving/server_selector.cpp
+++ b/modules/serving/server_selector.cpp
@@ -96,21 +96,26 @@
     return penalty;
 }
 
-std::optional<server_choice> server_selector::pick(backend_directory& directory, const version_book& versions,
-                                                   const work_item& work, time_point now) const {
-    std::optional<server_choice> best;
-    duration best_cost{};
+const backend* server_selector::find_home(const std::vector<backend*>& candidates, const adapter_ref& ref) {
+    const std::uint64_t key = stable_hash(ref.model + "/" + ref.adapter);
     const backend* home = nullptr;
     std::uint64_t home_weight = 0;
-    const std::string home_key = work.weights.model + "/" + work.weights.adapter;
-    const auto candidates = directory.usable(work.service);
     for (const backend* server : candidates) {
-        const std::uint64_t weight = rendezvous_weight(home_key, server->listing.name.text());
-        if (is_local_(server->listing.zone) && (home == nullptr || weight > home_weight)) {
+        const std::uint64_t weight = rendezvous_weight(key, server->name_hash);
+        if (home == nullptr || weight > home_weight) {
             home = server;
             home_weight = weight;
         }
     }
+    return home;
+}
+
+std::optional<server_choice> server_selector::pick(backend_directory& directory, const version_book& versions,
+                                                   const work_item& work, time_point now) const {
+    std::optional<server_choice> best;
+    duration best_cost{};
+    const auto candidates = directory.usable(work.service);
+    const backend* home = work.needs_weights() ? find_home(candidates, work.weights) : nullptr;
     for (const backend* server : candidates) {
         if (work.excluded.contains(server->listing.name)) {
             continue;
@@ -129,7 +134,7 @@
             choice.estimate += load;
             cost += load + load_penalty(*server, work, is_warm, now);
         }
-        if (choice.needs_load && server != home) {
+        if (choice.needs_load && server != home && !server->held_before.contains(work.weights)) {
             cost += settings_.other_home;
         }
         if (choice.is_remote) {
@@ -138,6 +143,9 @@
         if (server->avoid_until > now) {
             cost += avoided_penalty;
         }
+        if (server->full_until > now) {
+            cost += settings_.full_penalty;
+        }
         if (!best || cost < best_cost) {
             best = choice;
             best_cost = cost;
