--- a/modules/serving/adapter_planner.cpp
+++ b/modules/serving/adapter_planner.cpp
@@ -99,12 +99,12 @@
     if (plan.has_open_order || server.is_leaving || now < plan.retry_at) {
         return std::nullopt;
     }
-    if (server.listing.weights.models.empty()) {
-        return plan_model(plan, server, engine, now);
-    }
     if (auto order = plan_check(plan, server, now)) {
         return order;
     }
+    if (server.listing.weights.models.empty()) {
+        return plan_model(plan, server, engine, now);
+    }
     return plan_want(plan, server, engine, versions, now);
 }
 
@@ -122,7 +122,8 @@
 std::optional<weights_order> adapter_planner::plan_model(server_plan& plan, const backend& server,
                                                          const engine_rule& engine, time_point now) {
     const bool is_under_way =
-        plan.model_ordered != time_point{} && now < plan.model_ordered + model_load_limit;
+        !plan.coming.empty() ||
+        (plan.model_ordered != time_point{} && now < plan.model_ordered + model_load_limit);
     if (is_under_way || now < next_model_load_ || engine.models.empty()) {
         return std::nullopt;
     }
@@ -142,7 +143,7 @@
         if (now < load.check_at) {
             continue;
         }
-        load.check_at = now + settings_.check_interval;
+        load.check_at = now + (ref.is_base() ? settings_.model_check_interval : settings_.check_interval);
         weights_order order = make_order(server, order_operation::load, ref);
         order.version = load.version;
         order.is_check = true;
@@ -235,6 +236,9 @@
         plan.last_accepted = now;
         return false;
     }
+    if (order.is_check && order.weights.is_base() && outcome == order_outcome::conflict) {
+        return false; // The server is busy with the load.
+    }
     if (outcome == order_outcome::conflict) {
         // Either the count differs, or an order waits for runs to end; only a report can tell.
         plan.needs_report = true;
@@ -255,7 +259,7 @@
         plan.last_accepted = now;
     }
     if (order.weights.is_base()) {
-        return false;
+        return on_model_outcome(plan, *server, order, outcome, now);
     }
     if (!is_load) {
         listing.weights.adapters.erase(order.weights);
@@ -280,6 +284,18 @@
     return false;
 }
 
+bool adapter_planner::on_model_outcome(server_plan& plan, backend& server, const weights_order& order,
+                                       order_outcome outcome, time_point now) const {
+    if (outcome != order_outcome::holds) {
+        plan.coming[order.weights] = {now + settings_.model_check_interval, now, order.version};
+        return false;
+    }
+    plan.coming.erase(order.weights);
+    server.listing.weights.models.try_emplace(order.weights.model, order.version.value_or(1));
+    server.weights_told = now;
+    return true;
+}
+
 void adapter_planner::on_report_missing(const server_name& name, time_point now) {
     const auto found = servers_.find(name);
     if (found != servers_.end()) {
--- a/modules/serving/backend_directory.cpp
+++ b/modules/serving/backend_directory.cpp
@@ -96,8 +96,11 @@
     server.is_listed = true;
     server.is_leaving = server.is_leaving || listing.is_leaving;
     if (server.order_sequence && now - server.weights_told < holder_word_valid) {
-        // The entry may have been written before orders whose outcome is known here.
-        listing.weights = server.listing.weights;
+        // The entry may have been written before orders whose outcome is known here. A base model that it names
+        // has been loaded, since base models are not unloaded, and no further entry would tell of it.
+        held_weights told = server.listing.weights;
+        told.models.merge(listing.weights.models);
+        listing.weights = std::move(told);
     }
     server.listing = std::move(listing);
     server.remember_weights(now);
--- a/modules/serving/include/lovageledge/serving/adapter_planner.hpp
+++ b/modules/serving/include/lovageledge/serving/adapter_planner.hpp
@@ -53,6 +53,8 @@
     duration warm_load_time = std::chrono::milliseconds{40};
     /** Pause between checks of a load that is late. */
     duration check_interval = std::chrono::milliseconds{30};
+    /** Pause between checks of a base model's load. */
+    duration model_check_interval = std::chrono::milliseconds{300};
     /** Loads on their way to one server at a time; the engines' limit. */
     std::size_t loads_per_server = 4;
     /** Wants are forgotten after this long. */
@@ -144,6 +146,8 @@
                                            const version_book& versions, time_point now) const;
     std::optional<adapter_ref> pick_victim(const server_plan& plan, const backend& server,
                                            time_point now) const;
+    bool on_model_outcome(server_plan& plan, backend& server, const weights_order& order, order_outcome outcome,
+                          time_point now) const;
     weights_order make_order(const backend& server, order_operation operation, const adapter_ref& ref) const;
 
     planner_settings settings_;
