Demand shares the price of a copy; gateways of a data centre tell their work every 150 ms

Cause: with one home per adapter a hot adapter waited 4 s before it got a second copy, and choices used figures 300 ms old. Conclusion: kept, with 500 ms for a first load away from home.

--- a/modules/gateway/gateway_settings.cpp
+++ b/modules/gateway/gateway_settings.cpp
@@ -71,6 +71,9 @@
     reader.time_ms(section, "engine_waiting_ms", selector.engine_waiting);
     reader.time_ms(section, "engine_running_ms", selector.engine_running);
     reader.time_ms(section, "other_home_ms", selector.other_home);
+    reader.time_ms(section, "pause_free_reading_ms", selector.pause_free_reading);
+    reader.number(section, "pause_weight_percent", selector.pause_weight_percent, 0, 1000);
+    reader.time_ms(section, "state_interval_ms", settings.state_interval);
     reader.time_ms(section, "recent_use_ms", settings.planner.recent_use);
     reader.time_ms(section, "load_wait_ms", settings.load_wait);
     reader.share(section, "wait_share_percent", settings.wait_share);
--- a/modules/gateway/include/lovageledge/gateway/gateway_settings.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway_settings.hpp
@@ -32,8 +32,10 @@
     retry_allowance retries;
     selector_settings selector;
     planner_settings planner;
+    /** Pause between state messages to the gateways of the same data centre. */
+    duration state_interval = std::chrono::milliseconds{150};
     /** Longest wait for a load before another server is considered. */
-    duration load_wait = std::chrono::milliseconds{600};
+    duration load_wait = std::chrono::milliseconds{900};
     /** Share of its time that a request may wait for a server before it is refused. */
     double wait_share = 0.5;
     std::uint32_t connections = 3000;
--- a/modules/gateway/include/lovageledge/gateway/gateway_state.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway_state.hpp
@@ -33,6 +33,7 @@
     version_book versions;
     server_selector selector;
     retry_budget retries;
+    demand_meter demand;
     /** Set from the stop signal on: no new connections are wanted. */
     bool is_stopping = false;
     /** Streams that come later are refused as not run, during a planned stop. */
--- a/modules/gateway/include/lovageledge/gateway/order_desk.hpp
+++ b/modules/gateway/include/lovageledge/gateway/order_desk.hpp
@@ -118,6 +118,7 @@
     asio::steady_timer plan_timer_;
     time_point started_{};
     time_point last_tick_{};
+    time_point remote_told_{};
     bool are_records_complete_ = false;
     bool is_taking_ = false;
     bool is_stopping_ = false;
--- a/modules/gateway/order_desk.cpp
+++ b/modules/gateway/order_desk.cpp
@@ -9,8 +9,8 @@
 
 using std::chrono::milliseconds;
 
-/** Pause between state messages; a quarter of the time after which a holder counts as gone. */
-constexpr auto state_interval = milliseconds{300};
+/** Pause between state messages to other data centres, which are billed. */
+constexpr auto remote_state_interval = milliseconds{300};
 /** A holder that is not heard for this long is replaced. */
 constexpr auto holder_silence = milliseconds{1500};
 /** After its own pause an instance waits this long before it judges others. */
@@ -349,10 +349,13 @@
         protocol::Envelope message;
         *message.mutable_gateway_state() = current_state({});
         send_to_data_centre(message);
-        tell_remote_holders();
+        if (now - remote_told_ >= remote_state_interval) {
+            remote_told_ = now;
+            tell_remote_holders();
+        }
         recently_used_.clear();
         check_domain();
-        timer.expires_after(state_interval);
+        timer.expires_after(state_.settings.state_interval);
         boost::system::error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
--- a/modules/serving/include/lovageledge/serving/server_selector.hpp
+++ b/modules/serving/include/lovageledge/serving/server_selector.hpp
@@ -27,6 +27,8 @@
     adapter_ref weights;
     /** Places for adapters on each server of the service. */
     std::uint32_t adapter_places = 0;
+    /** Recent requests for the adapter. @see demand_meter */
+    double demand = 0.0;
     std::uint32_t prompt_tokens = 0;
     std::vector<prompt_part> prompt_parts;
     /** Servers that refused or failed this request. */
@@ -53,17 +55,17 @@
     duration cold_load = std::chrono::milliseconds{280};
     /** Time for an adapter that the server held recently. */
     duration warm_load = std::chrono::milliseconds{60};
-    /** Wait that is accepted before an adapter is fetched from the store once more: each fetch is billed, at
-        the price of some ten requests' bytes to another region. */
-    duration fetch_penalty = std::chrono::milliseconds{700};
+    /** Wait that is accepted before a rare adapter is fetched from the store once more: each fetch is billed, at
+        the price of some ten requests' bytes to another region. It is shared by the adapter's recent requests. */
+    duration fetch_penalty = std::chrono::milliseconds{2500};
     /** Added where a load evicts another adapter, which may soon be wanted again. */
-    duration displacement_penalty = std::chrono::milliseconds{200};
+    duration displacement_penalty = std::chrono::milliseconds{50};
     /** Added where no place can be freed, since requests use all adapters there. */
-    duration no_place_penalty = std::chrono::milliseconds{2000};
+    duration no_place_penalty = std::chrono::milliseconds{500};
     /** Added where the server refused a request as full lately. */
     duration full_penalty = std::chrono::milliseconds{300};
     /** Added where a load was not done in time lately. */
-    duration blocked_load_penalty = std::chrono::milliseconds{1000};
+    duration blocked_load_penalty = std::chrono::milliseconds{300};
     /** Wait that is accepted before work goes to another region: its bytes are billed. */
     duration remote_engine_penalty = std::chrono::milliseconds{120};
     duration remote_plain_penalty = std::chrono::milliseconds{60};
@@ -73,13 +75,17 @@
     duration engine_waiting = std::chrono::milliseconds{40};
     /** Added for each stream that is in flight at an engine: its tokens share the batch. */
     duration engine_running = std::chrono::milliseconds{3};
+    /** Prompts that take less than this to read let the streams beside them go on in time. */
+    duration pause_free_reading = std::chrono::milliseconds{350};
+    /** Weight of the time beyond it, for each stream that runs there. */
+    std::uint32_t pause_weight_percent = 20;
     /** A prompt part that was sent at most this long ago counts as kept. */
     duration part_kept = std::chrono::seconds{20};
     /** A load report counts for this long. */
     duration report_valid = std::chrono::milliseconds{500};
     /** Added to a first load anywhere but at the adapter's home, which all gateways agree on: two of them that
         need an adapter at the same time would fetch it twice. */
-    duration other_home = std::chrono::milliseconds{800};
+    duration other_home = std::chrono::milliseconds{500};
 };
 
 /**
--- a/modules/serving/include/lovageledge/serving/serving.hpp
+++ b/modules/serving/include/lovageledge/serving/serving.hpp
@@ -5,6 +5,7 @@
 
 #include "lovageledge/serving/adapter_planner.hpp"
 #include "lovageledge/serving/backend_directory.hpp"
+#include "lovageledge/serving/demand_meter.hpp"
 #include "lovageledge/serving/event_framer.hpp"
 #include "lovageledge/serving/retry_budget.hpp"
 #include "lovageledge/serving/server_selector.hpp"
--- a/modules/serving/server_selector.cpp
+++ b/modules/serving/server_selector.cpp
@@ -48,7 +48,13 @@
                                           time_point now) const {
     const double tokens =
         static_cast<double>(server.total_pending_tokens()) + uncached_tokens(server, work, now);
-    duration estimate = milliseconds_of(tokens / settings_.prefill_tokens_per_ms);
+    const duration reading = milliseconds_of(tokens / settings_.prefill_tokens_per_ms);
+    duration estimate = reading;
+    if (reading > settings_.pause_free_reading) {
+        // Streams that run there pause while prompts are read: all of them become late.
+        estimate += (reading - settings_.pause_free_reading) * server.total_in_flight() *
+                    settings_.pause_weight_percent / 100;
+    }
     estimate += settings_.engine_running * server.total_in_flight();
     if (server.load_reported + settings_.report_valid >= now) {
         estimate += settings_.engine_waiting * server.load.waiting;
@@ -84,7 +90,10 @@
 
 duration server_selector::load_penalty(const backend& server, const work_item& work, bool is_warm,
                                        time_point now) const {
-    duration penalty = is_warm ? duration::zero() : settings_.fetch_penalty;
+    duration penalty = duration::zero();
+    if (!is_warm) {
+        penalty = std::chrono::duration_cast<duration>(settings_.fetch_penalty / (1.0 + work.demand));
+    }
     if (server.available_places(work.adapter_places) == 0) {
         penalty += settings_.no_place_penalty;
     } else if (server.listing.weights.adapters.size() >= work.adapter_places) {
