--- a/modules/gateway/connection_pool.cpp
+++ b/modules/gateway/connection_pool.cpp
@@ -8,8 +8,8 @@
 
 } // namespace
 
-std::shared_ptr<forwarding_connection> connection_pool::take(const server_listing& server, duration idle_limit,
-                                                             time_point now) {
+std::shared_ptr<forwarding_connection> connection_pool::take(const server_listing& server,
+                                                             duration idle_limit, time_point now) {
     const auto entry = idle_.find(server.name);
     if (entry == idle_.end()) {
         return nullptr;
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -45,8 +45,8 @@
 
 gateway::gateway(asio::io_context& context, gateway_settings settings, wire_codec codec,
                  platform_port platform)
-    : context_{context}, state_{std::move(settings), std::move(codec), std::move(platform)},
-      desk_{context, state_},
+    : context_{context}, state_{std::move(settings), std::move(codec), std::move(platform)}, desk_{context,
+                                                                                                   state_},
       caller_server_{context, to_http_limits(caller_limits{}, state_.settings.connections),
                      [this](http_exchange& exchange) { return serve(exchange); }},
       readiness_server_{context, small_limits(),
@@ -66,11 +66,14 @@
     state_.log.write(event::instance_started,
                      fmt::format("instance={} start={} region={} data_centre={} callers={} peers={}",
                                  settings.name.text(), settings.start.text(), settings.region.text(),
-                                 settings.data_centre.text(), settings.caller_address, settings.peer_address));
+                                 settings.data_centre.text(), settings.caller_address,
+                                 settings.peer_address));
     return true;
 }
 
-bool gateway::is_ready() const { return state_.routes && has_server_list_ && !state_.is_stopping; }
+bool gateway::is_ready() const {
+    return state_.routes && has_server_list_ && !state_.is_stopping;
+}
 
 asio::awaitable<void> gateway::serve(http_exchange& exchange) {
     if (state_.is_stopping) {
@@ -175,8 +178,9 @@
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
     co_await desk_.finish_stop();
-    state_.log.write(event::instance_stopped, fmt::format("instance={} drained={}", state_.settings.name.text(),
-                                                          state_.requests_in_progress == 0));
+    state_.log.write(
+        event::instance_stopped,
+        fmt::format("instance={} drained={}", state_.settings.name.text(), state_.requests_in_progress == 0));
     on_stopped();
 }
 
--- a/modules/gateway/include/lovageledge/gateway/order_desk.hpp
+++ b/modules/gateway/include/lovageledge/gateway/order_desk.hpp
@@ -14,11 +14,11 @@
 /**
     Orders to backend servers, and the messages between gateways that they need.
 
-    Each data centre's servers take their orders from one gateway, the holder of the order domain. Who holds it
-    stands in the platform's store as a conditional update with a fencing token; nothing has to be renewed. The
-    gateways of a data centre hear each other's state several times a second; if the holder's stops, another
-    takes the domain over, and servers refuse the former holder's token.
-    Used on the gateway's one thread.
+    Each data centre's servers take their orders from one gateway, the holder of the order domain. Who holds
+   it stands in the platform's store as a conditional update with a fencing token; nothing has to be renewed.
+   The gateways of a data centre hear each other's state several times a second; if the holder's stops,
+   another takes the domain over, and servers refuse the former holder's token. Used on the gateway's one
+   thread.
 */
 class order_desk {
 public:
--- a/modules/gateway/include/lovageledge/gateway/request_flow.hpp
+++ b/modules/gateway/include/lovageledge/gateway/request_flow.hpp
@@ -14,8 +14,8 @@
 /**
     The way of one request: its route, its server, the attempts, and the answer.
 
-    Every attempt ends in one of these: answered, not run, or unknown. What was not run may go to another server;
-    what may have run goes on only if its route is idempotent. Used on the gateway's one thread.
+    Every attempt ends in one of these: answered, not run, or unknown. What was not run may go to another
+   server; what may have run goes on only if its route is idempotent. Used on the gateway's one thread.
 */
 class request_flow : public std::enable_shared_from_this<request_flow> {
 public:
--- a/modules/gateway/order_desk.cpp
+++ b/modules/gateway/order_desk.cpp
@@ -34,7 +34,9 @@
     return message;
 }
 
-adapter_ref to_ref(const protocol::WeightsRef& message) { return {message.model(), message.adapter()}; }
+adapter_ref to_ref(const protocol::WeightsRef& message) {
+    return {message.model(), message.adapter()};
+}
 
 const char* outcome_name(order_outcome outcome) {
     switch (outcome) {
@@ -57,15 +59,13 @@
 } // namespace
 
 order_desk::order_desk(asio::io_context& context, gateway_state& state)
-    : context_{context}, state_{state},
-      socket_{[this](const protocol::Envelope& message) {
-                  asio::post(context_, [this, message] { on_message(message); });
-              },
-              [](const error& why) { spdlog::warn("{}", why.text()); }},
+    : context_{context}, state_{state}, socket_{[this](const protocol::Envelope& message) {
+                                                    asio::post(context_,
+                                                               [this, message] { on_message(message); });
+                                                },
+                                                [](const error& why) { spdlog::warn("{}", why.text()); }},
       planner_{state.settings.planner}, plan_timer_{context} {
-    planner_.set_usage([](const backend& server, const adapter_ref& ref) {
-        return server.is_in_use(ref);
-    });
+    planner_.set_usage([](const backend& server, const adapter_ref& ref) { return server.is_in_use(ref); });
 }
 
 bool order_desk::start(error& why) {
@@ -228,8 +228,8 @@
     const std::string key = state_.settings.data_centre.text();
     const std::uint64_t own_weight = rendezvous_weight(key, state_.settings.name.text());
     for (const auto& [name, entry] : peers_) {
-        const bool is_candidate = entry.data_centre == state_.settings.data_centre &&
-                                  now - entry.last_heard < holder_silence;
+        const bool is_candidate =
+            entry.data_centre == state_.settings.data_centre && now - entry.last_heard < holder_silence;
         const bool is_better = entry.is_stopping == is_stopping_
                                    ? rendezvous_weight(key, name.text()) > own_weight
                                    : is_stopping_;
@@ -325,7 +325,8 @@
 }
 
 void order_desk::tell_remote_holders() {
-    // Paths between regions are billed: the holders elsewhere hear only what has changed, of their own servers.
+    // Paths between regions are billed: the holders elsewhere hear only what has changed, of their own
+    // servers.
     for (const auto& [data_centre, holder] : remote_holders_) {
         protocol::Envelope message;
         *message.mutable_gateway_state() = current_state(data_centre);
@@ -540,7 +541,8 @@
     const auto is_ours = [this](const backend& server) {
         return server.listing.zone == state_.settings.data_centre;
     };
-    for (const server_name& name : planner_.next_reads(state_.directory, *state_.routes, is_ours, state_.now())) {
+    for (const server_name& name :
+         planner_.next_reads(state_.directory, *state_.routes, is_ours, state_.now())) {
         asio::co_spawn(context_, read_server(name, state_.directory.find(name)->listing.address),
                        asio::detached);
     }
@@ -568,8 +570,7 @@
         // Another holder's token was seen there: this one is out of date, whatever the store has told so far.
         domain_.start.clear();
     }
-    const bool has_changed =
-        planner_.on_outcome(state_.directory, order, result.outcome, state_.now());
+    const bool has_changed = planner_.on_outcome(state_.directory, order, result.outcome, state_.now());
     const backend* server = state_.directory.find(order.server);
     if (server != nullptr && has_changed) {
         publish_weights(*server);
@@ -583,7 +584,8 @@
 asio::awaitable<void> order_desk::read_server(server_name name, std::string address) {
     const auto report = co_await state_.platform.read_weights(address);
     const backend* server = state_.directory.find(name);
-    const bool is_same_start = report && server != nullptr && server->listing.started_at == report->started_at;
+    const bool is_same_start =
+        report && server != nullptr && server->listing.started_at == report->started_at;
     if (!is_same_start) {
         planner_.on_report_missing(name, state_.now());
         co_return;
@@ -602,12 +604,13 @@
     }
     state_.counters.count(fmt::format("orders_total{{operation=\"{}\",outcome=\"{}\"}}",
                                       is_load ? "load" : "unload", outcome_name(result.outcome)));
-    state_.log.write(is_load ? event::adapter_load_ordered : event::adapter_evict_ordered,
-                     fmt::format("server={} model={} adapter={} version={} sequence={} fence={} check={} outcome={} "
-                                 "detail=\"{}\"",
-                                 order.server.text(), order.weights.model, order.weights.adapter,
-                                 order.version.value_or(0), order.expected_sequence.value_or(0), authority.fence,
-                                 order.is_check, outcome_name(result.outcome), result.detail));
+    state_.log.write(
+        is_load ? event::adapter_load_ordered : event::adapter_evict_ordered,
+        fmt::format("server={} model={} adapter={} version={} sequence={} fence={} check={} outcome={} "
+                    "detail=\"{}\"",
+                    order.server.text(), order.weights.model, order.weights.adapter,
+                    order.version.value_or(0), order.expected_sequence.value_or(0), authority.fence,
+                    order.is_check, outcome_name(result.outcome), result.detail));
 }
 
 } // namespace lovageledge
--- a/modules/gateway/request_flow.cpp
+++ b/modules/gateway/request_flow.cpp
@@ -34,8 +34,8 @@
 constexpr double servable_share = 0.9;
 
 constexpr std::array<std::string_view, 9> connection_headers{
-    "connection", "keep-alive", "proxy-connection", "transfer-encoding", "content-length",
-    "te",         "trailer",    "upgrade",          "expect"};
+    "connection", "keep-alive", "proxy-connection", "transfer-encoding", "content-length", "te", "trailer",
+    "upgrade",    "expect"};
 
 /** The header of server-sent events with which a caller resumes a stream itself. */
 constexpr const char* resume_header = "Last-Event-Id";
@@ -47,16 +47,20 @@
     });
 }
 
-std::string_view view_of(beast::string_view text) { return {text.data(), text.size()}; }
+std::string_view view_of(beast::string_view text) {
+    return {text.data(), text.size()};
+}
 
-std::int64_t to_ms(duration value) { return std::chrono::duration_cast<milliseconds>(value).count(); }
+std::int64_t to_ms(duration value) {
+    return std::chrono::duration_cast<milliseconds>(value).count();
+}
 
 } // namespace
 
 request_flow::request_flow(gateway_state& state, order_desk& desk, connection_pool& pool,
                            http_exchange& exchange)
-    : state_{state}, desk_{desk}, pool_{pool}, exchange_{exchange}, routes_{state.routes},
-      started_{state.now()} {}
+    : state_{state}, desk_{desk}, pool_{pool}, exchange_{exchange}, routes_{state.routes}, started_{
+                                                                                               state.now()} {}
 
 asio::awaitable<void> request_flow::run() {
     facts_ = state_.codec.read_request(exchange_.request());
@@ -159,9 +163,9 @@
         last_problem_ += ", retry budget spent";
         return false;
     }
-    state_.log.write(event::request_retried, fmt::format("request={} attempt={} server={} cause=\"{}\"",
-                                                         facts_.id.text(), attempts_, last.server.text(),
-                                                         last_problem_));
+    state_.log.write(event::request_retried,
+                     fmt::format("request={} attempt={} server={} cause=\"{}\"", facts_.id.text(), attempts_,
+                                 last.server.text(), last_problem_));
     return true;
 }
 
@@ -181,8 +185,8 @@
             co_return choice;
         }
         desk_.want(choice->server, work_.weights);
-        const bool is_held =
-            co_await desk_.wait_for(choice->server, work_.weights, std::min(state_.settings.load_wait, deadline_ - now));
+        const bool is_held = co_await desk_.wait_for(choice->server, work_.weights,
+                                                     std::min(state_.settings.load_wait, deadline_ - now));
         if (is_held) {
             continue;
         }
@@ -252,15 +256,17 @@
     last_problem_ = why.text();
     if (!is_caller_gone_) {
         state_.directory.on_failure(listing.name, state_.now());
-        state_.log.write(event::backend_avoided, fmt::format("server={} request={} reason=\"{}\" failures=1",
-                                                             listing.name.text(), facts_.id.text(), why.text()));
+        state_.log.write(event::backend_avoided,
+                         fmt::format("server={} request={} reason=\"{}\" failures=1", listing.name.text(),
+                                     facts_.id.text(), why.text()));
     }
     co_return nullptr;
 }
 
 std::string request_flow::make_head(const backend& server) const {
     const auto& request = exchange_.request();
-    std::string head = fmt::format("{} {} HTTP/1.1\r\n", view_of(request.method_string()), view_of(request.target()));
+    std::string head =
+        fmt::format("{} {} HTTP/1.1\r\n", view_of(request.method_string()), view_of(request.target()));
     const std::string connection_tokens{request[http::field::connection]};
     for (const auto& field : request) {
         const std::string_view name = view_of(field.name_string());
@@ -514,7 +520,8 @@
     }
     if (failed_head_) {
         const unsigned status = failed_head_->status;
-        co_await exchange_.respond_forwarded(status, forwarded_headers(*failed_head_), std::move(failed_body_));
+        co_await exchange_.respond_forwarded(status, forwarded_headers(*failed_head_),
+                                             std::move(failed_body_));
         log_finished(status, "failed");
         co_return;
     }
@@ -553,10 +560,11 @@
     const duration elapsed = state_.now() - started_;
     state_.counters.count(fmt::format("requests_total{{outcome=\"{}\"}}", outcome));
     state_.counters.observe("request_seconds", elapsed);
-    state_.log.write(event::request_finished,
-                     fmt::format("request={} outcome={} status={} attempts={} runs={} ms={} route={} why=\"{}\"",
-                                 facts_.id.text(), outcome, status, attempts_, runs_, to_ms(elapsed),
-                                 route_ == nullptr ? "" : route_->name, outcome == "done" ? "" : last_problem_));
+    state_.log.write(
+        event::request_finished,
+        fmt::format("request={} outcome={} status={} attempts={} runs={} ms={} route={} why=\"{}\"",
+                    facts_.id.text(), outcome, status, attempts_, runs_, to_ms(elapsed),
+                    route_ == nullptr ? "" : route_->name, outcome == "done" ? "" : last_problem_));
 }
 
 } // namespace lovageledge
--- a/modules/service/settings_reader.cpp
+++ b/modules/service/settings_reader.cpp
@@ -56,7 +56,8 @@
 
 void settings_reader::time_ms(const std::string& section, const std::string& key, duration& target) {
     constexpr std::uint64_t longest_ms = 24ULL * 3600 * 1000;
-    std::uint64_t value = static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(target).count());
+    std::uint64_t value =
+        static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(target).count());
     number(section, key, value, 1, longest_ms);
     target = milliseconds{value};
 }
--- a/modules/serving/adapter_planner.cpp
+++ b/modules/serving/adapter_planner.cpp
@@ -95,7 +95,8 @@
 std::optional<weights_order> adapter_planner::plan_server(server_plan& plan, const backend& server,
                                                           const engine_rule& engine,
                                                           const version_book& versions, time_point now) {
-    std::erase_if(plan.wants, [&](const auto& want) { return want.second.second + settings_.want_valid < now; });
+    std::erase_if(plan.wants,
+                  [&](const auto& want) { return want.second.second + settings_.want_valid < now; });
     if (plan.has_open_order || server.is_leaving || now < plan.retry_at) {
         return std::nullopt;
     }
@@ -121,9 +122,8 @@
 
 std::optional<weights_order> adapter_planner::plan_model(server_plan& plan, const backend& server,
                                                          const engine_rule& engine, time_point now) {
-    const bool is_under_way =
-        !plan.coming.empty() ||
-        (plan.model_ordered != time_point{} && now < plan.model_ordered + model_load_limit);
+    const bool is_under_way = !plan.coming.empty() || (plan.model_ordered != time_point{} &&
+                                                       now < plan.model_ordered + model_load_limit);
     if (is_under_way || now < next_model_load_ || engine.models.empty()) {
         return std::nullopt;
     }
@@ -313,7 +313,8 @@
     }
     server_plan& plan = found->second;
     plan.has_open_order = false;
-    // It was read long enough after the last order to know of it, so that its count holds even if it is lower.
+    // It was read long enough after the last order to know of it, so that its count holds even if it is
+    // lower.
     if (backend* server = directory.find(name); server != nullptr) {
         server->order_sequence.reset();
     }
--- a/modules/serving/backend_directory.cpp
+++ b/modules/serving/backend_directory.cpp
@@ -62,9 +62,9 @@
         held_before[ref] = now;
     }
     while (held_before.size() > remembered_adapters) {
-        held_before.erase(std::min_element(
-            held_before.begin(), held_before.end(),
-            [](const auto& left, const auto& right) { return left.second < right.second; }));
+        held_before.erase(
+            std::min_element(held_before.begin(), held_before.end(),
+                             [](const auto& left, const auto& right) { return left.second < right.second; }));
     }
 }
 
@@ -96,8 +96,8 @@
     server.is_listed = true;
     server.is_leaving = server.is_leaving || listing.is_leaving;
     if (server.order_sequence && now - server.weights_told < holder_word_valid) {
-        // The entry may have been written before orders whose outcome is known here. A base model that it names
-        // has been loaded, since base models are not unloaded, and no further entry would tell of it.
+        // The entry may have been written before orders whose outcome is known here. A base model that it
+        // names has been loaded, since base models are not unloaded, and no further entry would tell of it.
         held_weights told = server.listing.weights;
         told.models.merge(listing.weights.models);
         listing.weights = std::move(told);
--- a/modules/serving/demand_meter.cpp
+++ b/modules/serving/demand_meter.cpp
@@ -12,8 +12,8 @@
 } // namespace
 
 double demand_meter::decayed(const entry& known, time_point now) const {
-    const double half_lives = std::chrono::duration<double>(now - known.updated) /
-                              std::chrono::duration<double>(half_life_);
+    const double half_lives =
+        std::chrono::duration<double>(now - known.updated) / std::chrono::duration<double>(half_life_);
     return known.count * std::exp2(-half_lives);
 }
 
@@ -22,7 +22,8 @@
     known.count = decayed(known, now) + 1.0;
     known.updated = now;
     if (entries_.size() > entries_limit) {
-        std::erase_if(entries_, [&](const auto& item) { return decayed(item.second, now) < forgotten_count; });
+        std::erase_if(entries_,
+                      [&](const auto& item) { return decayed(item.second, now) < forgotten_count; });
     }
 }
 
--- a/modules/serving/include/lovageledge/serving/adapter_planner.hpp
+++ b/modules/serving/include/lovageledge/serving/adapter_planner.hpp
@@ -94,7 +94,8 @@
         @param is_ours tells whether a server belongs to the data centre that is planned here */
     std::vector<weights_order> next_orders(const backend_directory& directory, const route_table& routes,
                                            const version_book& versions,
-                                           const std::function<bool(const backend&)>& is_ours, time_point now);
+                                           const std::function<bool(const backend&)>& is_ours,
+                                           time_point now);
 
     /** Servers that must be asked what they hold, before they get orders. The caller asks them all.
         @param is_ours as for next_orders() */
@@ -142,12 +143,13 @@
                                            const version_book& versions, time_point now) const;
     std::optional<weights_order> plan_model(server_plan& plan, const backend& server,
                                             const engine_rule& engine, time_point now);
-    std::optional<weights_order> plan_want(server_plan& plan, const backend& server, const engine_rule& engine,
-                                           const version_book& versions, time_point now) const;
+    std::optional<weights_order> plan_want(server_plan& plan, const backend& server,
+                                           const engine_rule& engine, const version_book& versions,
+                                           time_point now) const;
     std::optional<adapter_ref> pick_victim(const server_plan& plan, const backend& server,
                                            time_point now) const;
-    bool on_model_outcome(server_plan& plan, backend& server, const weights_order& order, order_outcome outcome,
-                          time_point now) const;
+    bool on_model_outcome(server_plan& plan, backend& server, const weights_order& order,
+                          order_outcome outcome, time_point now) const;
     weights_order make_order(const backend& server, order_operation operation, const adapter_ref& ref) const;
 
     planner_settings settings_;
--- a/modules/serving/include/lovageledge/serving/backend_directory.hpp
+++ b/modules/serving/include/lovageledge/serving/backend_directory.hpp
@@ -110,8 +110,8 @@
 /**
     The backend servers that may take work, and what is known of each.
 
-    A belief belongs to one start of a server: a restart under the same name begins with nothing. A server that
-    has announced its end stays unusable for the rest of that start. Not thread-safe.
+    A belief belongs to one start of a server: a restart under the same name begins with nothing. A server
+   that has announced its end stays unusable for the rest of that start. Not thread-safe.
 */
 class backend_directory {
 public:
--- a/modules/serving/include/lovageledge/serving/server_selector.hpp
+++ b/modules/serving/include/lovageledge/serving/server_selector.hpp
@@ -55,8 +55,9 @@
     duration cold_load = std::chrono::milliseconds{280};
     /** Time for an adapter that the server held recently. */
     duration warm_load = std::chrono::milliseconds{60};
-    /** Wait that is accepted before a rare adapter is fetched from the store once more: each fetch is billed, at
-        the price of some ten requests' bytes to another region. It is shared by the adapter's recent requests. */
+    /** Wait that is accepted before a rare adapter is fetched from the store once more: each fetch is billed,
+       at the price of some ten requests' bytes to another region. It is shared by the adapter's recent
+       requests. */
     duration fetch_penalty = std::chrono::milliseconds{2500};
     /** Added where a load evicts another adapter, which may soon be wanted again. */
     duration displacement_penalty = std::chrono::milliseconds{50};
@@ -83,8 +84,8 @@
     duration part_kept = std::chrono::seconds{20};
     /** A load report counts for this long. */
     duration report_valid = std::chrono::milliseconds{500};
-    /** Added to a first load anywhere but at the adapter's home, which all gateways agree on: two of them that
-        need an adapter at the same time would fetch it twice. */
+    /** Added to a first load anywhere but at the adapter's home, which all gateways agree on: two of them
+       that need an adapter at the same time would fetch it twice. */
     duration other_home = std::chrono::milliseconds{500};
 };
 
@@ -116,7 +117,8 @@
                       time_point now);
     /** @returns true if a newer version was announced than the one that the server held last */
     static bool is_outdated(const backend& server, const version_book& versions, const work_item& work);
-    /** @returns the server where an adapter is loaded first, by rendezvous hashing; nullptr without servers */
+    /** @returns the server where an adapter is loaded first, by rendezvous hashing; nullptr without servers
+     */
     static const backend* find_home(const std::vector<backend*>& candidates, const adapter_ref& ref);
     /** Notes that a prompt was sent, so that later ones with the same parts follow it. */
     static void note_sent(backend& server, const work_item& work, time_point now);
--- a/modules/serving/include/lovageledge/serving/serving.hpp
+++ b/modules/serving/include/lovageledge/serving/serving.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-// Umbrella header of the serving module: which server runs a request, what may be repeated, which adapters the
-// servers hold. Decisions only; no sockets, no threads. Depends on: base.
+// Umbrella header of the serving module: which server runs a request, what may be repeated, which adapters
+// the servers hold. Decisions only; no sockets, no threads. Depends on: base.
 
 #include "lovageledge/serving/adapter_planner.hpp"
 #include "lovageledge/serving/backend_directory.hpp"
--- a/modules/serving/server_selector.cpp
+++ b/modules/serving/server_selector.cpp
@@ -138,7 +138,8 @@
                              !is_local_(server->listing.zone), estimate_(*server, work, now)};
         duration cost = choice.estimate;
         if (choice.needs_load) {
-            const bool is_warm = server->held_before.contains(work.weights) && !is_outdated(*server, versions, work);
+            const bool is_warm =
+                server->held_before.contains(work.weights) && !is_outdated(*server, versions, work);
             const duration load = is_warm ? settings_.warm_load : settings_.cold_load;
             choice.estimate += load;
             cost += load + load_penalty(*server, work, is_warm, now);
--- a/modules/transport/forwarding_connection.cpp
+++ b/modules/transport/forwarding_connection.cpp
@@ -92,14 +92,15 @@
     const std::array<asio::const_buffer, 2> buffers{asio::buffer(outgoing_head_),
                                                     asio::buffer(outgoing_body_)};
     stream_.expires_never();
-    asio::async_write(stream_, buffers, [self = shared_from_this()](boost::system::error_code code, std::size_t) {
-        self->is_writing_ = false;
-        if (code) {
-            // The reader may still find an answer that came before the connection broke.
-            boost::system::error_code ignored;
-            self->stream_.socket().shutdown(asio::socket_base::shutdown_send, ignored);
-        }
-    });
+    asio::async_write(stream_, buffers,
+                      [self = shared_from_this()](boost::system::error_code code, std::size_t) {
+                          self->is_writing_ = false;
+                          if (code) {
+                              // The reader may still find an answer that came before the connection broke.
+                              boost::system::error_code ignored;
+                              self->stream_.socket().shutdown(asio::socket_base::shutdown_send, ignored);
+                          }
+                      });
 }
 
 void forwarding_connection::note_keep_alive(const answer_head& head) {
@@ -112,8 +113,7 @@
     const std::string_view digits = value->substr(position + 8);
     std::uint32_t seconds = 0;
     std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-    idle_limit_ =
-        std::chrono::duration_cast<duration>(std::chrono::duration<double>{seconds * idle_share});
+    idle_limit_ = std::chrono::duration_cast<duration>(std::chrono::duration<double>{seconds * idle_share});
 }
 
 asio::awaitable<std::optional<answer_head>> forwarding_connection::read_head(time_point limit, error& why) {
--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -124,9 +124,8 @@
     co_return co_await write_head(std::move(answer));
 }
 
-asio::awaitable<bool> http_exchange::respond_forwarded(unsigned status,
-                                                       const std::vector<http_header>& headers,
-                                                       std::string body) {
+asio::awaitable<bool>
+http_exchange::respond_forwarded(unsigned status, const std::vector<http_header>& headers, std::string body) {
     assert(!has_answered_);
     has_answered_ = true;
     close_listener_.reset();
@@ -313,8 +312,8 @@
         const std::scoped_lock lock{streams_mutex_};
         idle_streams_.insert(&stream);
     }
-    const std::size_t size = co_await stream.async_read_some(
-        buffer.prepare(limits_.header_bytes), asio::redirect_error(asio::use_awaitable, code));
+    const std::size_t size = co_await stream.async_read_some(buffer.prepare(limits_.header_bytes),
+                                                             asio::redirect_error(asio::use_awaitable, code));
     {
         const std::scoped_lock lock{streams_mutex_};
         idle_streams_.erase(&stream);
--- a/modules/transport/include/lovageledge/transport/http_server.hpp
+++ b/modules/transport/include/lovageledge/transport/http_server.hpp
@@ -115,8 +115,8 @@
     void stop_accepting();
     /** Resets all open connections, as a restarted process would. Thread-safe. */
     void reset_connections();
-    /** Closes connections that wait for a request, and every other one once its answer has ended. New ones are
-        still accepted, for one request each. Precondition: as for set_limits(). */
+    /** Closes connections that wait for a request, and every other one once its answer has ended. New ones
+       are still accepted, for one request each. Precondition: as for set_limits(). */
     void close_idle_connections();
     /** Sets the limits for requests that begin from now on. Precondition: called on the thread that runs the
         context, which has only one. */
