--- /dev/null
+++ b/modules/gateway/gateway_settings_test.cpp
@@ -0,0 +1,58 @@
+#include "lovageledge/gateway/gateway_settings.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace lovageledge {
+namespace {
+
+const std::string valid_settings = "[instance]\n"
+                                   "name = front-1\n"
+                                   "data_centre = ahd-a\n"
+                                   "region = ahd\n"
+                                   "caller_address = 127.0.0.1:1\n"
+                                   "readiness_address = 127.0.0.1:2\n"
+                                   "peer_address = 127.0.0.1:3\n"
+                                   "[platform]\n"
+                                   "address = 127.0.0.1:4\n"
+                                   "[bounds]\n"
+                                   "retry_ratio = 0.2\n"
+                                   "retry_extra = 54\n"
+                                   "[data_centres]\n"
+                                   "ahd-a = ahd\n"
+                                   "ahd-b = ahd\n"
+                                   "srt-a = srt\n";
+
+class gateway_settings_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(gateway_settings_test);
+    CPPUNIT_TEST(reads_valid_settings);
+    CPPUNIT_TEST(names_line_and_field_of_a_fault);
+    CPPUNIT_TEST(rejects_unknown_fields);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::vector<std::string> errors_;
+
+    void reads_valid_settings() {
+        const auto settings =
+            parse_gateway_settings(valid_settings + "[policy]\nother_home_ms = 7\n", errors_);
+        CPPUNIT_ASSERT(settings);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, settings->local_data_centres.size());
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(54.0, settings->retries.extra, 1e-9);
+        CPPUNIT_ASSERT(settings->selector.other_home == std::chrono::milliseconds{7});
+    }
+
+    void names_line_and_field_of_a_fault() {
+        CPPUNIT_ASSERT(!parse_gateway_settings(
+            valid_settings + "[log]\nlevel = info\n[limits]\nconnections = x\n", errors_));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, errors_.size());
+        CPPUNIT_ASSERT(errors_.front().rfind("line 20, [limits] connections", 0) == 0);
+    }
+
+    void rejects_unknown_fields() {
+        CPPUNIT_ASSERT(!parse_gateway_settings(valid_settings + "[policy]\nspeed = 1\n", errors_));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gateway_settings_test);
+
+} // namespace
+} // namespace lovageledge
--- a/modules/gateway/include/lovageledge/gateway/gateway_state.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway_state.hpp
@@ -15,6 +15,9 @@
     to tell of decisions. Used on the gateway's one thread.
 */
 struct gateway_state {
+    /** Crashes after which a request is refused: a lost answer looks like a crash once or twice, not more. */
+    static constexpr std::uint32_t crash_limit = 3;
+
     gateway_state(gateway_settings given_settings, wire_codec given_codec, platform_port given_platform);
 
     bool is_local(const data_centre_name& data_centre) const;
@@ -34,6 +37,8 @@
     server_selector selector;
     retry_budget retries;
     demand_meter demand;
+    /** Requests that crash the servers that run them. */
+    quarantine crashing{crash_limit};
     /** Set from the stop signal on: no new connections are wanted. */
     bool is_stopping = false;
     /** Streams that come later are refused as not run, during a planned stop. */
--- a/modules/gateway/include/lovageledge/gateway/request_flow.hpp
+++ b/modules/gateway/include/lovageledge/gateway/request_flow.hpp
@@ -65,6 +65,8 @@
     bool has_time_left() const { return state_.now() < deadline_ && !is_caller_gone_; }
     void on_caller_gone();
     void set_first_byte_seen();
+    std::string make_fingerprint() const;
+    void note_broken_run(const server_name& server);
     void log_routed(const server_choice& choice) const;
     asio::awaitable<void> finish_unserved(attempt_end end);
     asio::awaitable<void> refuse(unsigned status, std::string_view reason,
@@ -80,6 +82,8 @@
     request_facts facts_;
     work_item work_;
     std::string path_;
+    /** Digest of what a caller would send again; empty for requests without a body. */
+    std::string fingerprint_;
     time_point started_{};
     time_point deadline_{};
     std::uint32_t attempts_ = 0;
--- a/modules/gateway/order_desk.cpp
+++ b/modules/gateway/order_desk.cpp
@@ -11,6 +11,8 @@
 
 /** Pause between state messages to other data centres, which are billed. */
 constexpr auto remote_state_interval = milliseconds{300};
+/** Crashes of a request from which on the other gateways are told. */
+constexpr std::uint32_t told_crashes = 2;
 /** A holder that is not heard for this long is replaced. */
 constexpr auto holder_silence = milliseconds{1500};
 /** After its own pause an instance waits this long before it judges others. */
@@ -301,6 +303,14 @@
     protocol::GatewayState message;
     message.set_data_centre(state_.settings.data_centre.text());
     message.set_stopping(is_stopping_);
+    for (const auto& [fingerprint, crashes] : state_.crashing.counts(state_.now())) {
+        if (crashes < told_crashes) {
+            continue; // Most single crashes are lost answers.
+        }
+        protocol::FingerprintReport& report = *message.add_fingerprints();
+        report.set_fingerprint(fingerprint);
+        report.set_crashes(crashes);
+    }
     for (const auto& [name, server] : state_.directory.servers()) {
         const auto used = recently_used_.find(name);
         const bool is_idle = server.in_flight == 0 && used == recently_used_.end();
@@ -356,6 +366,7 @@
         }
         recently_used_.clear();
         check_domain();
+        state_.crashing.on_tick(now);
         timer.expires_after(state_.settings.state_interval);
         boost::system::error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
@@ -391,6 +402,9 @@
         entry->second.is_stopping = state.stopping();
     }
     const time_point now = state_.now();
+    for (const auto& report : state.fingerprints()) {
+        state_.crashing.on_report(report.fingerprint(), report.crashes(), now);
+    }
     state_.directory.clear_peer_work(name);
     for (const protocol::ServerWork& work : state.work()) {
         backend* server = state_.directory.find(server_name{work.server()});
--- a/modules/gateway/request_flow.cpp
+++ b/modules/gateway/request_flow.cpp
@@ -26,6 +26,8 @@
 constexpr std::uint32_t sends_limit = 4;
 /** Retry-After where the reason passes soon, as for a load or a full queue. */
 constexpr auto soon = milliseconds{400};
+/** Retry-After for a request that crashes servers: its caller has to change it. */
+constexpr auto crashing_pause = std::chrono::seconds{10};
 /** Retry-After where another instance can serve now. */
 constexpr auto at_once = milliseconds{50};
 /** Answers longer than this are not kept to be sent as a whole. */
@@ -83,6 +85,10 @@
         co_await refuse(503, "this instance is stopping", at_once);
         co_return;
     }
+    if (!fingerprint_.empty() && state_.crashing.is_condemned(fingerprint_)) {
+        co_await refuse(503, "this request crashed the servers that ran it", crashing_pause);
+        co_return;
+    }
     exchange_.on_close([weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->on_caller_gone();
@@ -103,6 +109,27 @@
     return codings == 1 && lengths == 0 && beast::iequals(request[http::field::transfer_encoding], "chunked");
 }
 
+std::string request_flow::make_fingerprint() const {
+    if (exchange_.body().empty()) {
+        return {}; // Lookups of the same path come from many callers.
+    }
+    const auto& request = exchange_.request();
+    const std::string model = facts_.weights.model + "/" + facts_.weights.adapter;
+    return fmt::format("{:016x}{:016x}", stable_hash(exchange_.body()),
+                       stable_hash(fmt::format("{} {} {}", view_of(request.method_string()),
+                                               view_of(request.target()), model)));
+}
+
+void request_flow::note_broken_run(const server_name& server) {
+    if (fingerprint_.empty()) {
+        return;
+    }
+    const bool is_condemned = state_.crashing.on_crash(fingerprint_, state_.now());
+    state_.log.write(is_condemned ? event::fingerprint_quarantined : event::fingerprint_suspected,
+                     fmt::format("fingerprint={} request={} server={} why=\"{}\"", fingerprint_,
+                                 facts_.id.text(), server.text(), last_problem_));
+}
+
 bool request_flow::prepare() {
     route_ = routes_->match(exchange_.header("Host"), path_);
     if (route_ == nullptr || route_->services.empty()) {
@@ -122,6 +149,7 @@
     }
     work_.prompt_tokens = facts_.prompt_tokens;
     work_.prompt_parts = facts_.prompt_parts;
+    fingerprint_ = make_fingerprint();
     state_.retries.on_request(work_.service, started_);
     return true;
 }
@@ -316,6 +344,9 @@
         if (!is_caller_gone_) {
             state_.directory.on_failure(listing.name, state_.now());
         }
+        if (!is_caller_gone_ && state_.now() < limit) {
+            note_broken_run(listing.name);
+        }
         co_return has_stream_begun_ ? attempt_end::broken_off : attempt_end::unknown;
     }
     if (backend* current = state_.directory.find(listing.name); current != nullptr && facts.load) {
--- a/programs/gateway/main.cpp
+++ b/programs/gateway/main.cpp
@@ -1,5 +1,6 @@
 #include "lovageledge/gateway/gateway.hpp"
 #include "lovageledge/platform/platform_session.hpp"
+#include "lovageledge/platform/wire_names.hpp"
 
 #include <CLI/CLI.hpp>
 #include <cstdio>
@@ -20,8 +21,6 @@
 constexpr std::size_t log_queue_lines = 4096;
 /** The settings file may change without a signal. */
 constexpr auto settings_check_interval = std::chrono::seconds{2};
-/** The platform passes the path of the settings file in this variable. */
-constexpr const char* settings_variable = "LOVAGELEDGE_BOOT";
 
 std::optional<std::string> read_file(const std::string& path) {
     std::ifstream file{path};
@@ -137,7 +136,7 @@
 
 int main(int argc, char** argv) {
     CLI::App app{"lovageledge gateway: passes callers' requests to the backend servers of a platform"};
-    const char* variable = std::getenv(settings_variable);
+    const char* variable = std::getenv(lovageledge::platform::wire::settings_variable);
     std::string path = variable == nullptr ? "" : variable;
     bool is_check = false;
     auto* option = app.add_option("--settings", path, "INI file with the settings");
