A refusal as not run is given only if no attempt may have run the request

Cause: finish_unserved() answered 503 to an idempotent request whose earlier attempt had met silence and whose last one was refused; that refusal was not true. The event of an avoided server printed failures=1 as a constant. Ruled out: leaving 503 for idempotent requests since a second run does no harm: callers and operators read it as "not run".

--- a/modules/gateway/include/lovageledge/gateway/request_flow.hpp
+++ b/modules/gateway/include/lovageledge/gateway/request_flow.hpp
@@ -68,7 +68,7 @@
     std::string make_fingerprint() const;
     void note_broken_run(const server_name& server);
     void log_routed(const server_choice& choice) const;
-    asio::awaitable<void> finish_unserved(attempt_end end);
+    asio::awaitable<void> finish_unserved();
     asio::awaitable<void> refuse(unsigned status, std::string_view reason,
                                  std::optional<duration> retry_after);
     void log_finished(unsigned status, std::string_view outcome);
--- a/modules/gateway/request_flow.cpp
+++ b/modules/gateway/request_flow.cpp
@@ -155,13 +155,12 @@
 }
 
 asio::awaitable<void> request_flow::serve_attempts() {
-    attempt_end end = attempt_end::not_sent;
     while (has_time_left()) {
         const auto choice = co_await find_server();
         if (!choice) {
             break;
         }
-        end = co_await attempt(*choice);
+        const attempt_end end = co_await attempt(*choice);
         if (end == attempt_end::finished) {
             co_return;
         }
@@ -173,7 +172,7 @@
             break;
         }
     }
-    co_await finish_unserved(end);
+    co_await finish_unserved();
 }
 
 bool request_flow::may_repeat(attempt_end end, const server_choice& last) {
@@ -283,10 +282,10 @@
     }
     last_problem_ = why.text();
     if (!is_caller_gone_) {
-        state_.directory.on_failure(listing.name, state_.now());
+        const std::uint32_t failures = state_.directory.on_failure(listing.name, state_.now());
         state_.log.write(event::backend_avoided,
-                         fmt::format("server={} request={} reason=\"{}\" failures=1", listing.name.text(),
-                                     facts_.id.text(), why.text()));
+                         fmt::format("server={} request={} reason=\"{}\" failures={}", listing.name.text(),
+                                     facts_.id.text(), why.text(), failures));
     }
     co_return nullptr;
 }
@@ -539,7 +538,7 @@
     }
 }
 
-asio::awaitable<void> request_flow::finish_unserved(attempt_end end) {
+asio::awaitable<void> request_flow::finish_unserved() {
     if (is_caller_gone_) {
         exchange_.abort();
         log_finished(0, "caller_gone");
@@ -556,12 +555,10 @@
         log_finished(status, "failed");
         co_return;
     }
-    const bool may_have_run = runs_ > 0 && !route_->is_idempotent();
-    if (may_have_run || end == attempt_end::unknown) {
-        co_await refuse(state_.now() >= deadline_ ? 504 : 502, last_problem_, std::nullopt);
-        co_return;
-    }
-    co_await refuse(503, last_problem_, soon);
+    const unserved_status status = choose_unserved_status({runs_, state_.now() >= deadline_});
+    const bool is_not_run = status == unserved_status::unavailable;
+    co_await refuse(static_cast<unsigned>(status), last_problem_,
+                    is_not_run ? std::optional<duration>{soon} : std::nullopt);
 }
 
 asio::awaitable<void> request_flow::refuse(unsigned status, std::string_view reason,
--- a/modules/serving/backend_directory.cpp
+++ b/modules/serving/backend_directory.cpp
@@ -181,14 +181,14 @@
     }
 }
 
-void backend_directory::on_failure(const server_name& name, time_point now) {
+std::uint32_t backend_directory::on_failure(const server_name& name, time_point now) {
     backend* server = find(name);
     if (server == nullptr) {
-        return;
+        return 0;
     }
     const std::uint32_t doublings = std::min(server->consecutive_failures, doublings_limit);
     server->avoid_until = now + std::min<duration>(first_avoidance * (1U << doublings), longest_avoidance);
-    ++server->consecutive_failures;
+    return ++server->consecutive_failures;
 }
 
 backend* backend_directory::find(const server_name& name) {
--- a/modules/serving/include/lovageledge/serving/backend_directory.hpp
+++ b/modules/serving/include/lovageledge/serving/backend_directory.hpp
@@ -135,8 +135,9 @@
     void on_success(const server_name& name);
     /** The server was full: it is avoided for a moment, which is no failure. */
     void on_refused(const server_name& name, time_point now);
-    /** A connection or an answer failed. The server is avoided for a time that doubles with each failure. */
-    void on_failure(const server_name& name, time_point now);
+    /** A connection or an answer failed. The server is avoided for a time that doubles with each failure.
+        @returns its failures in a row; 0 if it is not known */
+    std::uint32_t on_failure(const server_name& name, time_point now);
 
     /** Forgets what a peer had under way, before it tells anew. */
     void clear_peer_work(const instance_name& peer);
--- a/modules/serving/include/lovageledge/serving/serving.hpp
+++ b/modules/serving/include/lovageledge/serving/serving.hpp
@@ -10,4 +10,5 @@
 #include "lovageledge/serving/retry_budget.hpp"
 #include "lovageledge/serving/server_selector.hpp"
 #include "lovageledge/serving/traffic_configuration.hpp"
+#include "lovageledge/serving/unserved_answer.hpp"
 #include "lovageledge/serving/version_book.hpp"
