One reader of the store per data centre, load of all data centres in beats, a signal no longer ends a process

An eviction that waits for runs keeps its place: found by the new soak (a load beyond the places), now read back from the server's report first.

--- a/modules/coordination/node.cpp
+++ b/modules/coordination/node.cpp
@@ -477,7 +477,10 @@
     }
     case protocol::Envelope::kGatewayState:
     case protocol::Envelope::kWeightsWanted:
-    case protocol::Envelope::kWeightsHeld: // Between gateways only.
+    case protocol::Envelope::kWeightsHeld:
+    case protocol::Envelope::kDataCentreBeat:
+    case protocol::Envelope::kDataCentreWork:
+    case protocol::Envelope::kStoreUpdate: // Between gateways only.
     case protocol::Envelope::BODY_NOT_SET:
         break;
     }
--- a/modules/gateway/gateway_settings.cpp
+++ b/modules/gateway/gateway_settings.cpp
@@ -71,6 +71,8 @@
     reader.time_ms(section, "engine_waiting_ms", selector.engine_waiting);
     reader.time_ms(section, "engine_running_ms", selector.engine_running);
     reader.time_ms(section, "other_home_ms", selector.other_home);
+    reader.number(section, "fetch_shared_by", selector.fetch_shared_by, 1, 1'000'000);
+    reader.time_ms(section, "spread_ms", selector.spread);
     reader.time_ms(section, "pause_free_reading_ms", selector.pause_free_reading);
     reader.number(section, "pause_weight_percent", selector.pause_weight_percent, 0, 1000);
     reader.time_ms(section, "state_interval_ms", settings.state_interval);
@@ -105,6 +107,7 @@
     settings.region = region_name{region};
     settings.local_data_centres = read_local_data_centres(text, settings.region, reader);
     read_seconds(reader, "stop_limit_s", settings.stop_limit);
+    reader.time_ms("bounds", "leaving_limit_ms", settings.leaving_limit);
     reader.time_ms("bounds", "version_limit_ms", settings.version_limit);
     read_fraction(reader, "bounds", "retry_ratio", settings.retries.ratio);
     read_fraction(reader, "bounds", "retry_extra", settings.retries.extra);
--- a/modules/gateway/include/lovageledge/gateway/gateway.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway.hpp
@@ -45,6 +45,10 @@
     void on_record(const stored_record& record) { desk_.on_record(record); }
     void on_record_removed(const std::string& name) { desk_.on_record_removed(name); }
     void on_records_complete() { desk_.on_records_complete(); }
+    /** Changes were read from the store: as the holder, this gateway passes them on. */
+    void on_store_read(const store_update& update) { desk_.share_update(update); }
+    /** @returns true if other gateways rely on what this one reads from the store */
+    bool shares_store() const { return desk_.shares_store(); }
     /** An entry that can't be used. */
     void on_rejected_entry(const std::string& entry, const std::string& reason);
 
--- a/modules/gateway/include/lovageledge/gateway/gateway_settings.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway_settings.hpp
@@ -25,6 +25,8 @@
     std::string log_level = "info";
     /** Time from a stop signal until the process is killed. */
     duration stop_limit = std::chrono::seconds{8};
+    /** Time within which a leaving server must be known to all gateways. */
+    duration leaving_limit = std::chrono::milliseconds{2500};
     /** Bound on the use of an older version of an adapter. */
     duration version_limit = std::chrono::milliseconds{5000};
     retry_allowance retries;
--- a/modules/gateway/include/lovageledge/gateway/gateway_state.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway_state.hpp
@@ -26,6 +26,8 @@
     gateway_settings settings;
     wire_codec codec;
     platform_port platform;
+    /** The platform's reader of the store. */
+    const store_reader& store;
     runtime_clock clock;
     decision_log log{0};
     metrics counters;
--- a/modules/gateway/include/lovageledge/gateway/order_desk.hpp
+++ b/modules/gateway/include/lovageledge/gateway/order_desk.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "lovageledge/gateway/gateway_state.hpp"
+#include "lovageledge/gateway/load_exchange.hpp"
+#include "lovageledge/gateway/peer_directory.hpp"
 
 #include <functional>
 #include <map>
@@ -16,9 +18,9 @@
 
     Each data centre's servers take their orders from one gateway, the holder of the order domain. Who holds
    it stands in the platform's store as a conditional update with a fencing token; nothing has to be renewed.
-   The gateways of a data centre hear each other's state several times a second; if the holder's stops,
-   another takes the domain over, and servers refuse the former holder's token. Used on the gateway's one
-   thread.
+   The holder's beat reaches its data centre's gateways several times a second; if it stops, another takes the
+   domain over, and servers refuse the former holder's token. The holder also passes on what it has read from
+   the store. Used on the gateway's one thread.
 */
 class order_desk {
 public:
@@ -48,20 +50,15 @@
     asio::awaitable<bool> wait_for(server_name server, adapter_ref ref, duration limit);
     /** Something about the servers changed: orders may be due. */
     void on_servers_changed();
+    /** @returns true if this gateway is the holder and its data centre relies on what it reads */
+    bool shares_store() const;
+    /** As the holder: passes on what was read from the store. */
+    void share_update(const store_update& update);
 
     /** @returns gateways that are known, this one included */
-    std::size_t instances() const { return peers_.size() + 1; }
+    std::size_t instances() const { return peers_.all().size() + 1; }
 
 private:
-    struct peer {
-        std::string start;
-        std::string address;
-        data_centre_name data_centre;
-        time_point last_heard{};
-        bool is_connected = false;
-        bool is_stopping = false;
-        std::uint64_t revision = 0;
-    };
     struct order_domain {
         instance_name holder;
         std::string start;
@@ -76,7 +73,7 @@
     };
 
     asio::awaitable<void> register_self();
-    asio::awaitable<void> state_loop();
+    asio::awaitable<void> beat_loop();
     asio::awaitable<void> plan_loop();
     asio::awaitable<void> take_domain(std::string holder);
     asio::awaitable<void> give_order(weights_order order, std::string address, order_authority authority);
@@ -89,32 +86,25 @@
     void publish_weights(const backend& server);
     void wake_waiters(const server_name& server);
 
+    void beat();
+    bool is_from_holder(const protocol::Envelope& message) const;
     void on_message(const protocol::Envelope& message);
-    void on_peer_state(const std::string& from, const protocol::GatewayState& state);
+    void on_beat(const instance_name& from, const protocol::DataCentreBeat& beat);
+    void on_store_update(const protocol::StoreUpdate& update);
     void on_peer_wants(const protocol::WeightsWanted& message);
     void on_peer_weights(const protocol::WeightsHeld& message);
-    void send(const instance_name& to, protocol::Envelope& message);
-    void send_to_data_centre(protocol::Envelope& message);
-    void connect(const instance_name& name, peer& entry);
-    /** @param for_servers_of only these servers' work; empty for all */
-    protocol::GatewayState current_state(const data_centre_name& for_servers_of);
-    void tell_remote_holders();
     void log_order(const weights_order& order, const order_result& result, const order_authority& authority);
 
     asio::io_context& context_;
     gateway_state& state_;
-    peer_socket socket_;
+    peer_directory peers_;
+    load_exchange exchange_;
     adapter_planner planner_;
-    std::map<instance_name, peer> peers_;
     order_domain domain_;
     /** Holders of the other data centres' domains. */
     std::map<data_centre_name, instance_name> remote_holders_;
-    /** The last state message to each remote holder. */
-    std::map<data_centre_name, std::string> told_remotely_;
     std::map<std::string, std::uint64_t> record_revisions_;
     std::multimap<server_name, load_waiter> waiters_;
-    /** Adapters that were used since the last state message. */
-    std::map<server_name, std::set<adapter_ref>> recently_used_;
     asio::steady_timer plan_timer_;
     time_point started_{};
     time_point last_tick_{};
--- a/modules/gateway/include/lovageledge/gateway/wire_codec.hpp
+++ b/modules/gateway/include/lovageledge/gateway/wire_codec.hpp
@@ -101,6 +101,20 @@
     std::uint64_t fence = 0;
 };
 
+/** What a gateway and its reader of the platform's store tell each other, as functions. Called on the gateway's
+    thread. */
+struct store_reader {
+    /** @returns up to where each kind has been read; empty if the store can't be read now */
+    std::function<std::vector<store_position>()> positions = [] { return std::vector<store_position>{}; };
+    /** Takes the positions of the holder, on which this gateway may rely for a while. */
+    std::function<void(const std::vector<store_position>&)> on_holder_positions =
+        [](const std::vector<store_position>&) {};
+    /** The holder has changed: its word does not hold any more. */
+    std::function<void()> forget_holder = [] {};
+    /** Takes changes that the holder has read. */
+    std::function<void(const store_update&)> apply = [](const store_update&) {};
+};
+
 /** The platform's services that the gateway needs, as functions. Called on the gateway's thread. */
 struct platform_port {
     /** Writes one of the system's own records. @param expected nothing to create it */
@@ -112,6 +126,7 @@
                                                 order_authority authority)>
         send_order;
     std::function<asio::awaitable<std::optional<weights_report>>(std::string address)> read_weights;
+    store_reader store;
 };
 
 } // namespace lovageledge
--- a/modules/gateway/order_desk.cpp
+++ b/modules/gateway/order_desk.cpp
@@ -9,10 +9,8 @@
 
 using std::chrono::milliseconds;
 
-/** Pause between state messages to other data centres, which are billed. */
-constexpr auto remote_state_interval = milliseconds{300};
-/** Crashes of a request from which on the other gateways are told. */
-constexpr std::uint32_t told_crashes = 2;
+/** Pause between messages to other data centres, which are billed. */
+constexpr auto remote_state_interval = milliseconds{250};
 /** A holder that is not heard for this long is replaced. */
 constexpr auto holder_silence = milliseconds{1500};
 /** After its own pause an instance waits this long before it judges others. */
@@ -23,7 +21,13 @@
 /** Pause after a failed write of a record. */
 constexpr auto write_pause = milliseconds{700};
 /** Each further candidate waits this much longer, so that one of them writes first. */
-constexpr auto candidate_stagger = milliseconds{250};
+constexpr auto candidate_stagger = milliseconds{150};
+
+/** Gateways beside the holder from which on it reads the store for all of them. */
+constexpr std::size_t sharing_neighbours = 3;
+/** A holder that loses the store is noticed after 2.4 s; where leaving servers must be known sooner, each
+    gateway reads the store itself. */
+constexpr auto sharing_leaving_limit = milliseconds{3500};
 
 const std::string gateway_prefix = "gateway.";
 const std::string domain_prefix = "orders.";
@@ -61,11 +65,14 @@
 } // namespace
 
 order_desk::order_desk(asio::io_context& context, gateway_state& state)
-    : context_{context}, state_{state}, socket_{[this](const protocol::Envelope& message) {
-                                                    asio::post(context_,
-                                                               [this, message] { on_message(message); });
-                                                },
-                                                [](const error& why) { spdlog::warn("{}", why.text()); }},
+    : context_{context}, state_{state}, peers_{state.settings,
+                                               [this](const protocol::Envelope& message) {
+                                                   asio::post(context_, [this, message] { on_message(message); });
+                                               }},
+      exchange_{state, peers_,
+                [this](const server_name& server, const adapter_ref& ref) {
+                    planner_.on_used(server, ref, state_.now());
+                }},
       planner_{state.settings.planner}, plan_timer_{context} {
     planner_.set_usage([](const backend& server, const adapter_ref& ref) { return server.is_in_use(ref); });
 }
@@ -73,10 +80,10 @@
 bool order_desk::start(error& why) {
     started_ = state_.now();
     last_tick_ = started_;
-    if (!socket_.listen(state_.settings.peer_address, why)) {
+    if (!peers_.listen(why)) {
         return false;
     }
-    asio::co_spawn(context_, state_loop(), asio::detached);
+    asio::co_spawn(context_, beat_loop(), asio::detached);
     asio::co_spawn(context_, plan_loop(), asio::detached);
     return true;
 }
@@ -84,8 +91,9 @@
 void order_desk::begin_stop() {
     is_stopping_ = true;
     protocol::Envelope message;
-    *message.mutable_gateway_state() = current_state({});
-    send_to_data_centre(message);
+    message.mutable_gateway_state()->set_data_centre(state_.settings.data_centre.text());
+    message.mutable_gateway_state()->set_stopping(true);
+    peers_.send_to_data_centre(message);
 }
 
 asio::awaitable<void> order_desk::finish_stop() {
@@ -142,29 +150,16 @@
     }
     protocol::GatewayRecord gateway;
     const bool is_gateway = record.name.rfind(gateway_prefix, 0) == 0 && from_json(record.json, gateway);
-    if (!is_gateway || gateway.instance() == state_.settings.name.text()) {
-        return;
-    }
-    const instance_name name{gateway.instance()};
-    peer& entry = peers_[name];
-    const bool is_new = entry.address != gateway.peer_address();
-    entry.start = gateway.start();
-    entry.address = gateway.peer_address();
-    entry.data_centre = data_centre_name{gateway.data_centre()};
-    entry.revision = record.revision;
-    if (is_new) {
-        entry.is_connected = false;
-    }
-    if (entry.data_centre == state_.settings.data_centre) {
-        connect(name, entry);
+    if (is_gateway) {
+        peers_.on_registered(gateway);
+        state_.retries.set_instances(instances());
     }
-    state_.retries.set_instances(instances());
 }
 
 void order_desk::on_record_removed(const std::string& name) {
     record_revisions_.erase(name);
     if (name.rfind(gateway_prefix, 0) == 0) {
-        peers_.erase(instance_name{name.substr(gateway_prefix.size())});
+        peers_.on_unregistered(instance_name{name.substr(gateway_prefix.size())});
         state_.retries.set_instances(instances());
     }
     if (name == domain_prefix + state_.settings.data_centre.text()) {
@@ -187,6 +182,10 @@
         return;
     }
     const bool did_hold = holds_domain();
+    if (domain_.holder != instance_name{record.holder()} || domain_.start != record.start()) {
+        exchange_.forget_others();
+        state_.store.forget_holder();
+    }
     domain_ = {instance_name{record.holder()}, record.start(), record.fence(), revision, std::nullopt};
     if (holds_domain() && !did_hold) {
         planner_.reset();
@@ -208,12 +207,12 @@
     if (domain_.holder == state_.settings.name) {
         return holds_domain();
     }
-    const auto holder = peers_.find(domain_.holder);
-    const bool is_known_start = holder != peers_.end() && holder->second.start == domain_.start;
+    const peer_gateway* holder = peers_.find(domain_.holder);
+    const bool is_known_start = holder != nullptr && holder->start == domain_.start;
     if (!is_known_start) {
         return false;
     }
-    const time_point heard = std::max(holder->second.last_heard, started_);
+    const time_point heard = std::max(holder->last_heard, started_);
     return state_.now() - heard < holder_silence;
 }
 
@@ -229,9 +228,8 @@
     std::size_t rank = 0;
     const std::string key = state_.settings.data_centre.text();
     const std::uint64_t own_weight = rendezvous_weight(key, state_.settings.name.text());
-    for (const auto& [name, entry] : peers_) {
-        const bool is_candidate =
-            entry.data_centre == state_.settings.data_centre && now - entry.last_heard < holder_silence;
+    for (const auto& [name, entry] : peers_.all()) {
+        const bool is_candidate = entry.data_centre == state_.settings.data_centre && name != domain_.holder;
         const bool is_better = entry.is_stopping == is_stopping_
                                    ? rendezvous_weight(key, name.text()) > own_weight
                                    : is_stopping_;
@@ -239,7 +237,7 @@
     }
     // A holder that is not known at all may just have started.
     const bool is_unknown = !domain_.holder.is_empty() && domain_.holder != state_.settings.name &&
-                            !peers_.contains(domain_.holder);
+                            peers_.find(domain_.holder) == nullptr;
     const duration patience = candidate_stagger * rank + (is_unknown ? holder_silence : milliseconds{0});
     if (now - *domain_.missing_since >= patience) {
         is_taking_ = true;
@@ -272,84 +270,23 @@
 
 // Messages between gateways.
 
-void order_desk::connect(const instance_name& name, peer& entry) {
-    if (!entry.is_connected && !entry.address.empty()) {
-        socket_.connect(name, entry.address);
-        entry.is_connected = true;
-    }
-}
-
-void order_desk::send(const instance_name& to, protocol::Envelope& message) {
-    const auto entry = peers_.find(to);
-    if (entry == peers_.end()) {
-        return;
-    }
-    connect(to, entry->second);
-    message.set_protocol_version(peer_protocol_version);
-    message.set_from(state_.settings.name.text());
-    message.set_from_start(state_.settings.start.text());
-    socket_.send(to, message);
-}
-
-void order_desk::send_to_data_centre(protocol::Envelope& message) {
-    for (const auto& [name, entry] : peers_) {
-        if (entry.data_centre == state_.settings.data_centre) {
-            send(name, message);
-        }
-    }
-}
-
-protocol::GatewayState order_desk::current_state(const data_centre_name& for_servers_of) {
-    protocol::GatewayState message;
-    message.set_data_centre(state_.settings.data_centre.text());
-    message.set_stopping(is_stopping_);
-    for (const auto& [fingerprint, crashes] : state_.crashing.counts(state_.now())) {
-        if (crashes < told_crashes) {
-            continue; // Most single crashes are lost answers.
-        }
-        protocol::FingerprintReport& report = *message.add_fingerprints();
-        report.set_fingerprint(fingerprint);
-        report.set_crashes(crashes);
-    }
-    for (const auto& [name, server] : state_.directory.servers()) {
-        const auto used = recently_used_.find(name);
-        const bool is_idle = server.in_flight == 0 && used == recently_used_.end();
-        const bool is_meant = for_servers_of.is_empty() || server.listing.zone == for_servers_of;
-        if (is_idle || !is_meant) {
-            continue;
-        }
-        protocol::ServerWork& work = *message.add_work();
-        work.set_server(name.text());
-        work.set_in_flight(server.in_flight);
-        work.set_pending_tokens(server.pending_tokens);
-        for (const auto& [ref, count] : server.adapters_in_use) {
-            *work.add_in_use() = to_message(ref, 0);
-        }
-        if (used != recently_used_.end()) {
-            for (const adapter_ref& ref : used->second) {
-                *work.add_recently_used() = to_message(ref, 0);
-            }
-        }
-    }
-    return message;
-}
-
-void order_desk::tell_remote_holders() {
-    // Paths between regions are billed: the holders elsewhere hear only what has changed, of their own
-    // servers.
-    for (const auto& [data_centre, holder] : remote_holders_) {
-        protocol::Envelope message;
-        *message.mutable_gateway_state() = current_state(data_centre);
-        std::string bytes = message.SerializeAsString();
-        std::string& told = told_remotely_[data_centre];
-        if (bytes != told) {
-            told = std::move(bytes);
-            send(holder, message);
+void order_desk::beat() {
+    const time_point now = state_.now();
+    const bool is_holder = holds_domain() && !is_stopped_;
+    if (is_holder) {
+        exchange_.send_beat(domain_.fence,
+                            shares_store() ? state_.store.positions() : std::vector<store_position>{});
+    }
+    if (is_holder && now - remote_told_ >= remote_state_interval) {
+        remote_told_ = now;
+        for (const auto& [data_centre, holder] : remote_holders_) {
+            exchange_.tell_holder(data_centre, holder);
         }
     }
+    exchange_.forget_silent();
 }
 
-asio::awaitable<void> order_desk::state_loop() {
+asio::awaitable<void> order_desk::beat_loop() {
     asio::steady_timer timer{context_};
     while (true) {
         const time_point now = state_.now();
@@ -357,14 +294,7 @@
             started_ = now; // This process stood still: what it did not hear says nothing of the others.
         }
         last_tick_ = now;
-        protocol::Envelope message;
-        *message.mutable_gateway_state() = current_state({});
-        send_to_data_centre(message);
-        if (now - remote_told_ >= remote_state_interval) {
-            remote_told_ = now;
-            tell_remote_holders();
-        }
-        recently_used_.clear();
+        beat();
         check_domain();
         state_.crashing.on_tick(now);
         timer.expires_after(state_.settings.state_interval);
@@ -373,55 +303,70 @@
     }
 }
 
+bool order_desk::is_from_holder(const protocol::Envelope& message) const {
+    return message.from() == domain_.holder.text() && message.from_start() == domain_.start;
+}
+
 void order_desk::on_message(const protocol::Envelope& message) {
-    const auto entry = peers_.find(instance_name{message.from()});
-    if (entry != peers_.end()) {
-        entry->second.last_heard = state_.now();
-        entry->second.start = message.from_start();
-    }
-    if (message.has_gateway_state()) {
-        on_peer_state(message.from(), message.gateway_state());
+    peer_gateway* sender = peers_.on_heard(message, state_.now());
+    if (sender == nullptr) {
+        return; // Its record has not been read yet.
+    }
+    const instance_name from{message.from()};
+    if (message.has_data_centre_beat() && is_from_holder(message)) {
+        on_beat(from, message.data_centre_beat());
+    } else if (message.has_gateway_state()) {
+        sender->is_stopping = message.gateway_state().stopping();
+        exchange_.on_state(from, message.gateway_state());
+    } else if (message.has_data_centre_work()) {
+        exchange_.on_work(message.data_centre_work());
+    } else if (message.has_store_update() && is_from_holder(message)) {
+        on_store_update(message.store_update());
     } else if (message.has_weights_wanted()) {
         on_peer_wants(message.weights_wanted());
     } else if (message.has_weights_held()) {
         on_peer_weights(message.weights_held());
-        const bool is_from_elsewhere =
-            entry != peers_.end() && entry->second.data_centre != state_.settings.data_centre;
-        if (is_from_elsewhere) {
+        if (sender->data_centre != state_.settings.data_centre) {
             protocol::Envelope relayed;
             *relayed.mutable_weights_held() = message.weights_held();
-            send_to_data_centre(relayed);
+            peers_.send_to_data_centre(relayed);
         }
     }
 }
 
-void order_desk::on_peer_state(const std::string& from, const protocol::GatewayState& state) {
-    const instance_name name{from};
-    const auto entry = peers_.find(name);
-    if (entry != peers_.end()) {
-        entry->second.is_stopping = state.stopping();
+void order_desk::on_beat(const instance_name& from, const protocol::DataCentreBeat& beat) {
+    if (beat.fence() != domain_.fence) {
+        return;
     }
-    const time_point now = state_.now();
-    for (const auto& report : state.fingerprints()) {
-        state_.crashing.on_report(report.fingerprint(), report.crashes(), now);
-    }
-    state_.directory.clear_peer_work(name);
-    for (const protocol::ServerWork& work : state.work()) {
-        backend* server = state_.directory.find(server_name{work.server()});
-        if (server == nullptr) {
-            continue;
-        }
-        peer_server_work& told = server->peer_work[name];
-        told.in_flight = work.in_flight();
-        told.pending_tokens = work.pending_tokens();
-        for (const auto& ref : work.in_use()) {
-            told.in_use.insert(to_ref(ref));
-            planner_.on_used(server->listing.name, to_ref(ref), now);
-        }
-        for (const auto& ref : work.recently_used()) {
-            planner_.on_used(server->listing.name, to_ref(ref), now);
-        }
+    exchange_.on_beat(beat);
+    std::vector<store_position> positions;
+    for (const protocol::StorePosition& entry : beat.positions()) {
+        positions.push_back({entry.kind(), entry.revision()});
     }
+    state_.store.on_holder_positions(positions);
+    exchange_.send_state(from, is_stopping_);
+}
+
+void order_desk::on_store_update(const protocol::StoreUpdate& update) {
+    state_.store.apply({update.kind(), update.after_revision(), update.revision(), update.changes()});
+}
+
+bool order_desk::shares_store() const {
+    return holds_domain() && !is_stopped_ && peers_.neighbours() >= sharing_neighbours &&
+           state_.settings.leaving_limit >= sharing_leaving_limit;
+}
+
+void order_desk::share_update(const store_update& update) {
+    if (!shares_store()) {
+        return;
+    }
+    protocol::Envelope message;
+    protocol::StoreUpdate& shared = *message.mutable_store_update();
+    shared.set_kind(update.kind);
+    shared.set_after_revision(update.after_revision);
+    shared.set_revision(update.revision);
+    shared.set_changes(update.changes);
+    peers_.send_to_data_centre(message);
 }
 
 void order_desk::on_peer_wants(const protocol::WeightsWanted& message) {
@@ -465,10 +410,10 @@
     for (const auto& [ref, version] : server.listing.weights.adapters) {
         *held.add_weights() = to_message(ref, version);
     }
-    send_to_data_centre(message);
+    peers_.send_to_data_centre(message);
     // One gateway of each other data centre hears it and passes it on there.
     for (const auto& [data_centre, holder] : remote_holders_) {
-        send(holder, message);
+        peers_.send(holder, message);
     }
     wake_waiters(server.listing.name);
 }
@@ -495,14 +440,14 @@
     wanted.set_server(name.text());
     wanted.set_started_at(server->listing.started_at);
     *wanted.mutable_weights() = to_message(ref, 0);
-    send(holder, message);
+    peers_.send(holder, message);
 }
 
 void order_desk::note_use(const server_name& server, const adapter_ref& ref) {
     if (ref.is_base()) {
         return;
     }
-    recently_used_[server].insert(ref);
+    exchange_.note_use(server, ref);
     planner_.on_used(server, ref, state_.now());
 }
 
--- /dev/null
+++ b/modules/gateway/peer_directory.cpp
@@ -0,0 +1,81 @@
+#include "lovageledge/gateway/peer_directory.hpp"
+
+#include <algorithm>
+#include <spdlog/spdlog.h>
+
+namespace lovageledge {
+
+peer_directory::peer_directory(const gateway_settings& settings, peer_socket::listener on_message)
+    : settings_{settings}, socket_{std::move(on_message),
+                                   [](const error& why) { spdlog::warn("{}", why.text()); }} {}
+
+bool peer_directory::listen(error& why) {
+    return socket_.listen(settings_.peer_address, why);
+}
+
+void peer_directory::on_registered(const protocol::GatewayRecord& record) {
+    const instance_name name{record.instance()};
+    if (name == settings_.name) {
+        return;
+    }
+    peer_gateway& peer = peers_[name];
+    const bool is_moved = peer.address != record.peer_address();
+    peer.start = record.start();
+    peer.address = record.peer_address();
+    peer.data_centre = data_centre_name{record.data_centre()};
+    peer.is_connected = peer.is_connected && !is_moved;
+}
+
+void peer_directory::on_unregistered(const instance_name& name) {
+    peers_.erase(name);
+}
+
+peer_gateway* peer_directory::on_heard(const protocol::Envelope& message, time_point now) {
+    const auto peer = peers_.find(instance_name{message.from()});
+    if (peer == peers_.end()) {
+        return nullptr;
+    }
+    peer->second.last_heard = now;
+    peer->second.start = message.from_start();
+    return &peer->second;
+}
+
+const peer_gateway* peer_directory::find(const instance_name& name) const {
+    const auto peer = peers_.find(name);
+    return peer == peers_.end() ? nullptr : &peer->second;
+}
+
+std::size_t peer_directory::neighbours() const {
+    return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
+        return entry.second.data_centre == settings_.data_centre;
+    }));
+}
+
+void peer_directory::connect(const instance_name& name, peer_gateway& peer) {
+    if (!peer.is_connected && !peer.address.empty()) {
+        socket_.connect(name, peer.address);
+        peer.is_connected = true;
+    }
+}
+
+void peer_directory::send(const instance_name& to, protocol::Envelope& message) {
+    const auto peer = peers_.find(to);
+    if (peer == peers_.end()) {
+        return;
+    }
+    connect(to, peer->second);
+    message.set_protocol_version(peer_protocol_version);
+    message.set_from(settings_.name.text());
+    message.set_from_start(settings_.start.text());
+    socket_.send(to, message);
+}
+
+void peer_directory::send_to_data_centre(protocol::Envelope& message) {
+    for (const auto& [name, peer] : peers_) {
+        if (peer.data_centre == settings_.data_centre) {
+            send(name, message);
+        }
+    }
+}
+
+} // namespace lovageledge
--- a/modules/serving/adapter_planner.cpp
+++ b/modules/serving/adapter_planner.cpp
@@ -263,7 +263,9 @@
     }
     if (!is_load) {
         listing.weights.adapters.erase(order.weights);
-        if (outcome == order_outcome::holds) {
+        if (outcome == order_outcome::accepted) {
+            plan.needs_report = true; // It waits for runs to end, and keeps its place until then.
+        } else {
             server->order_sequence = server->order_sequence.value_or(0) + 1;
             plan.last_accepted = now;
         }
--- a/modules/serving/adapter_planner_test.cpp
+++ b/modules/serving/adapter_planner_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(want_leads_to_a_load_and_a_check);
     CPPUNIT_TEST(full_server_evicts_the_least_recently_used);
     CPPUNIT_TEST(adapter_in_use_is_never_evicted);
+    CPPUNIT_TEST(eviction_that_waits_frees_no_place);
     CPPUNIT_TEST(places_include_loads_on_their_way);
     CPPUNIT_TEST(lost_answer_means_a_report_before_the_next_order);
     CPPUNIT_TEST(every_order_carries_the_count_it_was_decided_on);
@@ -138,6 +139,21 @@
         CPPUNIT_ASSERT(orders().empty());
     }
 
+    // A request that this holder has not heard of yet uses the adapter: the engine unloads it later.
+    void eviction_that_waits_frees_no_place() {
+        begin(3, {"a1", "a2"});
+        planner_.on_wanted(name_, ref("a3"), now_);
+        const auto evict = orders();
+        CPPUNIT_ASSERT(evict.at(0).operation == order_operation::unload);
+        planner_.on_outcome(directory_, evict[0], order_outcome::accepted, now_);
+        CPPUNIT_ASSERT(orders().empty());
+        now_ += seconds{1};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reads().size());
+        report(4, {"a1", "a2"});
+        const auto next = orders();
+        CPPUNIT_ASSERT(next.empty() || next[0].operation == order_operation::unload);
+    }
+
     void places_include_loads_on_their_way() {
         begin(0, {"a1"});
         planner_.on_wanted(name_, ref("a2"), now_);
--- a/modules/serving/backend_directory.cpp
+++ b/modules/serving/backend_directory.cpp
@@ -11,7 +11,7 @@
 constexpr auto longest_avoidance = std::chrono::milliseconds{2000};
 constexpr std::uint32_t doublings_limit = 3;
 /** Adapters that an engine keeps in its host's memory, about; the platform does not tell the number. */
-constexpr std::size_t remembered_adapters = 50;
+constexpr std::size_t remembered_adapters = 30;
 /** What a holder told goes before the platform's entry for this long: entries lag by a check-in and more. */
 constexpr auto holder_word_valid = std::chrono::seconds{4};
 /** Pause after a full server refused a request; about the time of a few of its requests. */
@@ -49,11 +49,19 @@
                        [&](const auto& entry) { return entry.second.in_use.contains(ref); });
 }
 
-std::size_t backend::available_places(std::size_t places) const {
+std::size_t backend::used_places() const {
     std::size_t used = 0;
     for (const auto& [ref, version] : listing.weights.adapters) {
         used += is_in_use(ref) ? 1 : 0;
     }
+    for (const auto& [peer, work] : peer_work) {
+        used = std::max<std::size_t>(used, work.used_places);
+    }
+    return used;
+}
+
+std::size_t backend::available_places(std::size_t places) const {
+    const std::size_t used = used_places();
     return places > used ? places - used : 0;
 }
 
--- a/modules/serving/include/lovageledge/serving/backend_directory.hpp
+++ b/modules/serving/include/lovageledge/serving/backend_directory.hpp
@@ -52,11 +52,14 @@
     std::uint32_t pace_percent = 100;
 };
 
-/** What another gateway of the data centre has under way at a server, as it last told. */
+/** What other gateways have under way at a server, as they were last told to. */
 struct peer_server_work {
     std::uint32_t in_flight = 0;
     std::uint64_t pending_tokens = 0;
+    /** Adapters in use; empty where only sums are told. */
     std::set<adapter_ref> in_use;
+    /** Places that are in use by all gateways, where only sums are told. */
+    std::uint32_t used_places = 0;
 };
 
 /** All that this instance believes of one start of a backend server. */
@@ -98,6 +101,8 @@
     std::uint64_t total_pending_tokens() const;
     /** @returns true if any gateway is known to have a request for the adapter there */
     bool is_in_use(const adapter_ref& ref) const { return adapters_in_use.contains(ref) || peers_use(ref); }
+    /** @returns places whose adapter some gateway is known to use */
+    std::size_t used_places() const;
     /** @returns places that are free, or held by an adapter that no request is known to use.
         @param places of the server in all */
     std::size_t available_places(std::size_t places) const;
--- a/modules/serving/include/lovageledge/serving/server_selector.hpp
+++ b/modules/serving/include/lovageledge/serving/server_selector.hpp
@@ -27,7 +27,7 @@
     adapter_ref weights;
     /** Places for adapters on each server of the service. */
     std::uint32_t adapter_places = 0;
-    /** Recent requests for the adapter. @see demand_meter */
+    /** Recent requests for the adapter at all gateways, estimated from this one's. @see demand_meter */
     double demand = 0.0;
     std::uint32_t prompt_tokens = 0;
     std::vector<prompt_part> prompt_parts;
@@ -59,6 +59,8 @@
        at the price of some ten requests' bytes to another region. It is shared by the adapter's recent
        requests. */
     duration fetch_penalty = std::chrono::milliseconds{2500};
+    /** Recent requests for an adapter that halve the wait which is accepted before it is fetched again. */
+    std::uint32_t fetch_shared_by = 7;
     /** Added where a load evicts another adapter, which may soon be wanted again. */
     duration displacement_penalty = std::chrono::milliseconds{50};
     /** Added where no place can be freed, since requests use all adapters there. */
@@ -87,6 +89,9 @@
     /** Added to a first load anywhere but at the adapter's home, which all gateways agree on: two of them
        that need an adapter at the same time would fetch it twice. */
     duration other_home = std::chrono::milliseconds{500};
+    /** Servers whose costs differ by less than this share the work at random: gateways that know the same load
+       would otherwise all choose the same server. */
+    duration spread = std::chrono::milliseconds{20};
 };
 
 /**
@@ -131,6 +136,8 @@
     duration load_penalty(const backend& server, const work_item& work, bool is_warm, time_point now) const;
     duration estimate_engine(const backend& server, const work_item& work, time_point now) const;
     duration estimate_plain(const backend& server, time_point now) const;
+    /** @returns a part of the spread that differs from request to request */
+    duration spread_of(const backend& server, std::uint64_t request_key) const;
 
     selector_settings settings_;
     std::function<bool(const data_centre_name&)> is_local_;
--- a/modules/serving/include/lovageledge/serving/serving.hpp
+++ b/modules/serving/include/lovageledge/serving/serving.hpp
@@ -9,6 +9,8 @@
 #include "lovageledge/serving/event_framer.hpp"
 #include "lovageledge/serving/retry_budget.hpp"
 #include "lovageledge/serving/server_selector.hpp"
+#include "lovageledge/serving/store_feed.hpp"
+#include "lovageledge/serving/told_work.hpp"
 #include "lovageledge/serving/traffic_configuration.hpp"
 #include "lovageledge/serving/unserved_answer.hpp"
 #include "lovageledge/serving/version_book.hpp"
--- /dev/null
+++ b/modules/serving/include/lovageledge/serving/told_work.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "lovageledge/serving/backend_directory.hpp"
+
+#include <map>
+
+namespace lovageledge {
+
+/**
+    Takes the part that this side has told out of totals that are told back to it.
+
+    The one who adds up answers with sums over all; without this, own work would count twice: once as known
+    here and once in the sum. Not thread-safe.
+*/
+class told_work {
+public:
+    /** Begins a new message: what was told before no longer stands. */
+    void clear() { told_.clear(); }
+    /** Notes own work at a server as told. */
+    void note(const server_name& server, std::uint32_t in_flight, std::uint64_t pending_tokens);
+    /** @param totals of all at the server, own work included
+        @returns the work of the others; never below zero, since totals may be older than what was told */
+    peer_server_work others(const server_name& server, const peer_server_work& totals) const;
+
+private:
+    struct own_part {
+        std::uint32_t in_flight = 0;
+        std::uint64_t pending_tokens = 0;
+    };
+    std::map<server_name, own_part> told_;
+};
+
+} // namespace lovageledge
--- a/modules/serving/server_selector.cpp
+++ b/modules/serving/server_selector.cpp
@@ -92,7 +92,8 @@
                                        time_point now) const {
     duration penalty = duration::zero();
     if (!is_warm) {
-        penalty = std::chrono::duration_cast<duration>(settings_.fetch_penalty / (1.0 + work.demand));
+        const double share = 1.0 + work.demand / settings_.fetch_shared_by;
+        penalty = std::chrono::duration_cast<duration>(settings_.fetch_penalty / share);
     }
     if (server.available_places(work.adapter_places) == 0) {
         penalty += settings_.no_place_penalty;
@@ -105,6 +106,12 @@
     return penalty;
 }
 
+duration server_selector::spread_of(const backend& server, std::uint64_t request_key) const {
+    constexpr std::uint64_t steps = 256;
+    const std::uint64_t step = rendezvous_weight(request_key, server.name_hash) % steps;
+    return settings_.spread * step / steps;
+}
+
 const backend* server_selector::find_home(const std::vector<backend*>& candidates, const adapter_ref& ref) {
     const std::uint64_t key = stable_hash(ref.model + "/" + ref.adapter);
     const backend* home = nullptr;
@@ -125,6 +132,7 @@
     duration best_cost{};
     const auto candidates = directory.usable(work.service);
     const backend* home = work.needs_weights() ? find_home(candidates, work.weights) : nullptr;
+    const std::uint64_t request_key = stable_hash(work.id.text());
     for (const backend* server : candidates) {
         if (work.excluded.contains(server->listing.name)) {
             continue;
@@ -136,7 +144,7 @@
         }
         server_choice choice{server->listing.name, !holds(*server, versions, work, now),
                              !is_local_(server->listing.zone), estimate_(*server, work, now)};
-        duration cost = choice.estimate;
+        duration cost = choice.estimate + spread_of(*server, request_key);
         if (choice.needs_load) {
             const bool is_warm =
                 server->held_before.contains(work.weights) && !is_outdated(*server, versions, work);
--- /dev/null
+++ b/modules/serving/told_work.cpp
@@ -0,0 +1,21 @@
+#include "lovageledge/serving/told_work.hpp"
+
+#include <algorithm>
+
+namespace lovageledge {
+
+void told_work::note(const server_name& server, std::uint32_t in_flight, std::uint64_t pending_tokens) {
+    told_[server] = {in_flight, pending_tokens};
+}
+
+peer_server_work told_work::others(const server_name& server, const peer_server_work& totals) const {
+    peer_server_work result = totals;
+    const auto own = told_.find(server);
+    if (own != told_.end()) {
+        result.in_flight -= std::min(result.in_flight, own->second.in_flight);
+        result.pending_tokens -= std::min(result.pending_tokens, own->second.pending_tokens);
+    }
+    return result;
+}
+
+} // namespace lovageledge
--- a/modules/transport/peer_socket.cpp
+++ b/modules/transport/peer_socket.cpp
@@ -1,5 +1,6 @@
 #include "lovageledge/transport/peer_socket.hpp"
 
+#include <cerrno>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -35,6 +36,7 @@
     }
 
     void receive();
+    bool receive_waiting();
     void receive_one(const zmq::message_t& bytes);
 
     listener on_message;
@@ -59,20 +61,35 @@
 }
 
 void peer_socket::implementation::receive() {
-    std::vector<zmq::pollitem_t> items{{inbound.handle(), 0, ZMQ_POLLIN, 0},
-                                       {wake_receiver.handle(), 0, ZMQ_POLLIN, 0}};
     while (true) {
-        zmq::poll(items, std::chrono::milliseconds{-1});
-        if ((items[1].revents & ZMQ_POLLIN) != 0) {
-            return;
-        }
-        zmq::message_t bytes;
-        while (inbound.recv(bytes, zmq::recv_flags::dontwait)) {
-            receive_one(bytes);
+        try {
+            if (!receive_waiting()) {
+                return;
+            }
+        } catch (const zmq::error_t& problem) {
+            if (problem.num() != EINTR) {
+                on_error({"peer.receive", "", problem.what()});
+                return;
+            }
+            // A signal was delivered to this thread; its handler has run.
         }
     }
 }
 
+bool peer_socket::implementation::receive_waiting() {
+    std::vector<zmq::pollitem_t> items{{inbound.handle(), 0, ZMQ_POLLIN, 0},
+                                       {wake_receiver.handle(), 0, ZMQ_POLLIN, 0}};
+    zmq::poll(items, std::chrono::milliseconds{-1});
+    if ((items[1].revents & ZMQ_POLLIN) != 0) {
+        return false;
+    }
+    zmq::message_t bytes;
+    while (inbound.recv(bytes, zmq::recv_flags::dontwait)) {
+        receive_one(bytes);
+    }
+    return true;
+}
+
 peer_socket::peer_socket(listener on_message, error_listener on_error)
     : implementation_{std::make_unique<implementation>(std::move(on_message), std::move(on_error))} {}
 
@@ -117,12 +134,12 @@
         ++dropped_;
         return;
     }
-    const auto sent = socket->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
-    if (!sent) {
-        ++dropped_;
-        return;
+    try {
+        const auto sent = socket->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+        (sent ? sent_bytes_ : dropped_) += sent ? bytes.size() : 1;
+    } catch (const zmq::error_t&) {
+        ++dropped_; // Interrupted by a signal, or the socket is being closed.
     }
-    sent_bytes_ += bytes.size();
 }
 
 } // namespace lovageledge
--- /dev/null
+++ b/modules/transport/peer_socket_test.cpp
@@ -0,0 +1,61 @@
+#include "lovageledge/transport/peer_socket.hpp"
+
+#include <atomic>
+#include <chrono>
+#include <cppunit/extensions/HelperMacros.h>
+#include <csignal>
+#include <filesystem>
+#include <sys/syscall.h>
+#include <thread>
+#include <unistd.h>
+
+namespace lovageledge {
+namespace {
+
+class peer_socket_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(peer_socket_test);
+    CPPUNIT_TEST(signal_does_not_end_the_receiver);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr const char* address_ = "127.0.0.1:20917";
+
+    static void signal_other_threads(int number) {
+        const auto own = ::syscall(SYS_gettid);
+        for (const auto& entry : std::filesystem::directory_iterator{"/proc/self/task"}) {
+            const long thread = std::stol(entry.path().filename().string());
+            if (thread != own) {
+                ::syscall(SYS_tgkill, ::getpid(), thread, number);
+            }
+        }
+    }
+
+    // A stop signal is delivered to any thread; the receiver's wait is interrupted by it.
+    void signal_does_not_end_the_receiver() {
+        struct sigaction action {};
+        action.sa_handler = [](int) {};
+        struct sigaction former {};
+        ::sigaction(SIGUSR1, &action, &former);
+        std::atomic<int> received{0};
+        peer_socket receiver{[&](const protocol::Envelope&) { ++received; }, [](const error&) {}};
+        error why;
+        CPPUNIT_ASSERT(receiver.listen(address_, why));
+        peer_socket sender{[](const protocol::Envelope&) {}, [](const error&) {}};
+        sender.connect(instance_name{"receiver"}, address_);
+        signal_other_threads(SIGUSR1);
+        protocol::Envelope message;
+        message.set_protocol_version(peer_protocol_version);
+        constexpr int attempts = 500;
+        for (int i = 0; i < attempts && received == 0; ++i) {
+            sender.send(instance_name{"receiver"}, message);
+            signal_other_threads(SIGUSR1);
+            std::this_thread::sleep_for(std::chrono::milliseconds{10});
+        }
+        ::sigaction(SIGUSR1, &former, nullptr);
+        CPPUNIT_ASSERT(received > 0);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(peer_socket_test);
+
+} // namespace
+} // namespace lovageledge
--- /dev/null
+++ b/tests/soak/store.py
@@ -0,0 +1,120 @@
+"""A stand-in of the platform's metadata store, after its published protocol: objects with revisions, watches, conditional writes."""
+import asyncio
+import json
+import urllib.parse
+
+HISTORY = 400
+
+
+class Store:
+    """Objects by kind and name. Faults are attributes that the soak sets while calls come in."""
+
+    def __init__(self):
+        self.revision = 10
+        self.objects = {}
+        self.events = []
+        self.oldest = 10
+        self.changed = asyncio.Condition()
+        self.down = None          # None, "busy", "silent" or "reset"
+        self.slow_s = 0.0
+        self.lose_writes = 0      # Writes that are done and not answered.
+        self.calls = 0
+
+    async def put(self, kind, name, spec):
+        """Writes on behalf of operators and servers. Returns the revision."""
+        self.revision += 1
+        old = self.objects.get((kind, name))
+        item = {"metadata": {"name": name, "revision": self.revision,
+                             "create_rev": old["metadata"]["create_rev"] if old else self.revision}, "spec": spec, "status": {}}
+        self.objects[kind, name] = item
+        await self._publish(kind, item, False)
+        return self.revision
+
+    async def remove(self, kind, name):
+        item = self.objects.pop((kind, name), None)
+        if item:
+            self.revision += 1
+            await self._publish(kind, dict(item, metadata=dict(item["metadata"], revision=self.revision)), True)
+
+    async def drop_history(self):
+        self.events.clear()
+        self.oldest = self.revision
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def _publish(self, kind, item, removed):
+        self.events.append((self.revision, kind, {"object": item, "removed": removed}))
+        if len(self.events) > HISTORY:
+            self.oldest = self.events.pop(0)[0]
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def serve(self, address):
+        host, port = address.split(":")
+        return await asyncio.start_server(self._connection, host, int(port))
+
+    async def _connection(self, reader, writer):
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                method, target, _ = head.split(b"\r\n")[0].decode().split(" ")
+                length = next((int(line.split(b":")[1]) for line in head.split(b"\r\n")
+                               if line.lower().startswith(b"content-length:")), 0)
+                body = json.loads(await reader.readexactly(length)) if length else None
+                self.calls += 1
+                if self.down == "silent":
+                    await asyncio.sleep(3600)
+                if self.down == "reset":
+                    return
+                await asyncio.sleep(self.slow_s)
+                status, answer = (503, {}) if self.down == "busy" else await self._call(method, target, body)
+                if method in ("PUT", "POST") and status == 200 and self.lose_writes > 0:
+                    self.lose_writes -= 1
+                    await asyncio.sleep(3600)
+                text = json.dumps(answer).encode()
+                writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % (status, len(text)) + text)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.transport.abort()
+
+    async def _call(self, method, target, body):
+        url = urllib.parse.urlsplit(target)
+        parts = url.path.strip("/").split("/")[1:]
+        query = dict(urllib.parse.parse_qsl(url.query))
+        kind, name = parts[0], parts[1] if len(parts) > 1 else None
+        if method == "GET" and "watch" in query:
+            return await self._watch(kind, int(query["watch"]), int(query.get("wait_ms", 0)) / 1000)
+        if method == "GET" and name is None:
+            items = [item for (k, _), item in sorted(self.objects.items()) if k == kind]
+            return 200, {"items": items, "more_pages": False, "as_of": self.revision}
+        name = name or body["metadata"]["name"]
+        present = self.objects.get((kind, name))
+        if method == "GET":
+            return (200, present) if present else (404, {})
+        if method == "DELETE":
+            await self.remove(kind, name)
+            return (200, {}) if present else (404, {})
+        if method == "POST" and present:
+            return 409, present
+        expected = body["metadata"].get("revision")
+        if method == "PUT" and (not present or expected not in (None, present["metadata"]["revision"])):
+            return (409, present) if present else (404, {})
+        await self.put(kind, name, body["spec"])
+        return 200, self.objects[kind, name]
+
+    async def _watch(self, kind, revision, wait):
+        end = asyncio.get_running_loop().time() + wait
+        while True:
+            if revision < self.oldest:
+                return 410, {}
+            found = [event for number, k, event in self.events if k == kind and number > revision]
+            left = end - asyncio.get_running_loop().time()
+            if found or left <= 0:
+                return 200, {"events": found, "as_of": self.revision}
+            async with self.changed:
+                try:
+                    await asyncio.wait_for(self.changed.wait(), left)
+                except asyncio.TimeoutError:
+                    pass
