--- a/modules/gateway/include/lovageledge/gateway/order_desk.hpp
+++ b/modules/gateway/include/lovageledge/gateway/order_desk.hpp
@@ -42,8 +42,9 @@
     /** All records were read for the first time: missing ones may be written now. */
     void on_records_complete();
 
-    /** Asks for weights on a server; the holder of its orders loads them if it can. */
-    void want(const server_name& server, const adapter_ref& ref);
+    /** Asks for weights on a server; the holder of its orders loads them if it can.
+        @param was_refused the server has just refused a request since it lacks them */
+    void want(const server_name& server, const adapter_ref& ref, bool was_refused = false);
     /** A request was sent to a server that holds its weights. */
     void note_use(const server_name& server, const adapter_ref& ref);
     /** Waits until a server holds the weights, or a time has passed. @returns true if they are held */
@@ -91,6 +92,7 @@
     void on_message(const protocol::Envelope& message);
     void on_beat(const instance_name& from, const protocol::DataCentreBeat& beat);
     void on_store_update(const protocol::StoreUpdate& update);
+    void note_want(const backend& server, const adapter_ref& ref, bool was_refused);
     void on_peer_wants(const protocol::WeightsWanted& message);
     void on_peer_weights(const protocol::WeightsHeld& message);
     void log_order(const weights_order& order, const order_result& result, const order_authority& authority);
--- a/modules/gateway/include/lovageledge/gateway/request_flow.hpp
+++ b/modules/gateway/include/lovageledge/gateway/request_flow.hpp
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -64,7 +65,8 @@
     bool may_repeat(attempt_end end, const server_choice& last);
     bool has_time_left() const { return state_.now() < deadline_ && !is_caller_gone_; }
     void on_caller_gone();
-    void set_first_byte_seen();
+    void on_stream_begun();
+    void release_pending_tokens();
     std::string make_fingerprint() const;
     void note_broken_run(const server_name& server);
     void log_routed(const server_choice& choice) const;
@@ -92,6 +94,10 @@
     /** Prompt tokens that count as pending at the present server. */
     std::uint32_t pending_tokens_ = 0;
     server_name present_server_;
+    /** The present server counts this request among its streams. */
+    bool is_counted_streaming_ = false;
+    /** Servers that lacked the adapter. */
+    std::set<server_name> lacking_;
     std::shared_ptr<forwarding_connection> connection_;
     event_framer framer_;
     std::optional<std::string> resume_after_;
--- a/modules/gateway/load_exchange.cpp
+++ b/modules/gateway/load_exchange.cpp
@@ -21,6 +21,17 @@
     return {message.model(), message.adapter()};
 }
 
+/** Reads the sums that single gateways and holders tell alike. */
+template <class Message>
+peer_server_work to_sums(const Message& message) {
+    peer_server_work work;
+    work.in_flight = message.in_flight();
+    work.streaming = message.streaming();
+    work.pending_tokens = message.pending_tokens();
+    work.avoided_by = message.avoided_by();
+    return work;
+}
+
 /** Sums from another data centre are kept under its name, whichever gateway holds its orders. */
 instance_name source_of(const data_centre_name& data_centre) {
     return instance_name{"data-centre " + data_centre.text()};
@@ -47,6 +58,8 @@
 
 bool load_exchange::add_work(const backend& server, protocol::ServerWork& work, bool with_neighbours) const {
     std::uint32_t in_flight = server.in_flight;
+    std::uint32_t streaming = server.streaming;
+    std::uint32_t avoided_by = server.is_avoided(state_.now()) ? 1 : 0;
     std::uint64_t pending_tokens = server.pending_tokens;
     std::set<adapter_ref> in_use;
     for (const auto& [ref, count] : server.adapters_in_use) {
@@ -59,29 +72,36 @@
                 continue;
             }
             in_flight += told.in_flight;
+            streaming += told.streaming;
+            avoided_by += told.avoided_by;
             pending_tokens += told.pending_tokens;
             in_use.insert(told.in_use.begin(), told.in_use.end());
         }
     }
     work.set_server(server.listing.name.text());
     work.set_in_flight(in_flight);
+    work.set_streaming(streaming);
+    work.set_avoided_by(avoided_by);
     work.set_pending_tokens(pending_tokens);
     for (const adapter_ref& ref : in_use) {
         *work.add_in_use() = to_message(ref);
     }
-    return in_flight > 0;
+    return in_flight > 0 || avoided_by > 0;
 }
 
 void load_exchange::add_totals(const std::function<bool(const backend&)>& is_meant,
                                totals_list& totals) const {
     for (const auto& [name, server] : state_.directory.servers()) {
         const std::uint32_t in_flight = server.total_in_flight();
-        if (in_flight == 0 || !is_meant(server)) {
+        const std::uint32_t avoided_by = server.avoided_by_others() + (server.is_avoided(state_.now()) ? 1 : 0);
+        if ((in_flight == 0 && avoided_by == 0) || !is_meant(server)) {
             continue;
         }
         protocol::ServerTotals& entry = *totals.Add();
         entry.set_server(name.text());
         entry.set_in_flight(in_flight);
+        entry.set_avoided_by(avoided_by);
+        entry.set_streaming(server.total_streaming());
         entry.set_pending_tokens(server.total_pending_tokens());
         entry.set_used_places(static_cast<std::uint32_t>(server.used_places()));
     }
@@ -131,7 +151,7 @@
                 *work.add_recently_used() = to_message(ref);
             }
         }
-        told.note(name, work.in_flight(), work.pending_tokens());
+        told.note(name, to_sums(work));
         *summary.add_work() = std::move(work);
     }
     used.clear();
@@ -167,7 +187,7 @@
                 *work.add_recently_used() = to_message(ref);
             }
         }
-        told_holder_.note(name, work.in_flight(), work.pending_tokens());
+        told_holder_.note(name, to_sums(work));
         *own.add_work() = std::move(work);
     }
     recently_used_.clear();
@@ -214,8 +234,7 @@
             continue;
         }
         peer_server_work& told = server->peer_work[source];
-        told.in_flight = item.in_flight();
-        told.pending_tokens = item.pending_tokens();
+        told = to_sums(item);
         for (const auto& ref : item.in_use()) {
             told.in_use.insert(to_ref(ref));
             on_used_(server->listing.name, to_ref(ref));
@@ -233,9 +252,7 @@
         if (server == nullptr) {
             continue;
         }
-        peer_server_work sum;
-        sum.in_flight = item.in_flight();
-        sum.pending_tokens = item.pending_tokens();
+        peer_server_work sum = to_sums(item);
         sum.used_places = item.used_places();
         server->peer_work[source] = told.others(server->listing.name, sum);
     }
--- a/modules/gateway/order_desk.cpp
+++ b/modules/gateway/order_desk.cpp
@@ -375,9 +375,15 @@
     if (!is_current || !holds_domain() || is_stopped_) {
         return;
     }
-    planner_.on_wanted(server->listing.name, to_ref(message.weights()), state_.now());
-    if (server->listing.weights.version_of(to_ref(message.weights()))) {
-        publish_weights(*server);
+    note_want(*server, to_ref(message.weights()), message.was_refused());
+}
+
+void order_desk::note_want(const backend& server, const adapter_ref& ref, bool was_refused) {
+    planner_.on_wanted(server.listing.name, ref, state_.now());
+    const bool is_doubted =
+        was_refused && planner_.on_refused_use(server.listing.name, ref, state_.now());
+    if (!is_doubted && server.listing.weights.version_of(ref)) {
+        publish_weights(server);
     }
     plan_now();
 }
@@ -420,15 +426,14 @@
 
 // What requests ask for.
 
-void order_desk::want(const server_name& name, const adapter_ref& ref) {
+void order_desk::want(const server_name& name, const adapter_ref& ref, bool was_refused) {
     const backend* server = state_.directory.find(name);
     if (server == nullptr) {
         return;
     }
     const bool is_ours = server->listing.zone == state_.settings.data_centre;
     if (is_ours && holds_domain()) {
-        planner_.on_wanted(name, ref, state_.now());
-        plan_now();
+        note_want(*server, ref, was_refused);
         return;
     }
     instance_name holder = domain_.holder;
@@ -440,6 +445,7 @@
     wanted.set_server(name.text());
     wanted.set_started_at(server->listing.started_at);
     *wanted.mutable_weights() = to_message(ref, 0);
+    wanted.set_was_refused(was_refused);
     peers_.send(holder, message);
 }
 
--- a/modules/gateway/request_flow.cpp
+++ b/modules/gateway/request_flow.cpp
@@ -240,6 +240,7 @@
     present_server_ = choice.server;
     pending_tokens_ = state_.selector.uncached_tokens(*server, work_, state_.now());
     ++server->in_flight;
+    is_counted_streaming_ = false;
     server->pending_tokens += pending_tokens_;
     if (work_.needs_weights()) {
         ++server->adapters_in_use[work_.weights];
@@ -256,10 +257,11 @@
         end = co_await converse(*server, connection);
         connection_.reset();
     }
-    set_first_byte_seen();
+    release_pending_tokens();
     server = state_.directory.find(choice.server);
     if (server != nullptr && server->listing.started_at == started_at) {
         --server->in_flight;
+        server->streaming -= is_counted_streaming_ ? 1 : 0;
         if (work_.needs_weights() && --server->adapters_in_use[work_.weights] == 0) {
             server->adapters_in_use.erase(work_.weights);
         }
@@ -332,12 +334,14 @@
         co_return attempt_end::finished;
     }
     connection->send(make_head(server), exchange_.body());
+    state_.directory.on_sent(listing.name, state_.now());
     time_point limit = deadline_;
     if (route_->is_idempotent() && runs_ + 1 < route_->max_attempts) {
         limit = std::min(limit, state_.now() + route_->latency_target * repeat_after_targets);
     }
     answer_facts facts;
     const auto head = co_await read_own_head(connection, limit, facts);
+    state_.directory.on_answer_begun(listing.name, listing.started_at, state_.now());
     if (!head) {
         connection->abort();
         ++runs_;
@@ -411,8 +415,10 @@
         state_.directory.on_unlisted(server);
     } else if (facts.is_misdirected) {
         state_.directory.on_adapter_missing(server, work_.weights);
-        desk_.want(server, work_.weights);
-        return attempt_end::weights_missing;
+        desk_.want(server, work_.weights, true);
+        // The server may load the adapter; if it lacks it once more, others are asked.
+        const bool is_first = lacking_.insert(server).second;
+        return is_first ? attempt_end::weights_missing : attempt_end::not_run;
     } else {
         state_.directory.on_refused(server, state_.now());
     }
@@ -429,7 +435,16 @@
     return headers;
 }
 
-void request_flow::set_first_byte_seen() {
+void request_flow::on_stream_begun() {
+    release_pending_tokens();
+    backend* server = state_.directory.find(present_server_);
+    if (server != nullptr && work_.needs_weights() && !is_counted_streaming_) {
+        is_counted_streaming_ = true;
+        ++server->streaming;
+    }
+}
+
+void request_flow::release_pending_tokens() {
     backend* server = state_.directory.find(present_server_);
     if (server != nullptr) {
         server->pending_tokens -= std::min<std::uint64_t>(server->pending_tokens, pending_tokens_);
@@ -503,7 +518,7 @@
             bytes = std::string{*part};
         }
         if (!bytes.empty() || is_end) {
-            set_first_byte_seen();
+            on_stream_begun();
             if (!has_stream_begun_) {
                 has_stream_begun_ = true;
                 state_.counters.observe("first_byte_seconds", state_.now() - started_);
--- a/modules/serving/adapter_planner.cpp
+++ b/modules/serving/adapter_planner.cpp
@@ -30,6 +30,15 @@
     plan.last_used[ref] = now;
 }
 
+bool adapter_planner::on_refused_use(const server_name& server, const adapter_ref& ref, time_point now) {
+    server_plan& plan = servers_[server];
+    const bool is_explained = plan.coming.contains(ref) || now - plan.last_accepted < report_lag;
+    if (!is_explained) {
+        plan.needs_report = true;
+    }
+    return !is_explained;
+}
+
 void adapter_planner::on_used(const server_name& server, const adapter_ref& ref, time_point now) {
     servers_[server].last_used[ref] = now;
 }
--- a/modules/serving/adapter_planner_test.cpp
+++ b/modules/serving/adapter_planner_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(full_server_evicts_the_least_recently_used);
     CPPUNIT_TEST(adapter_in_use_is_never_evicted);
     CPPUNIT_TEST(eviction_that_waits_frees_no_place);
+    CPPUNIT_TEST(refused_use_is_checked_by_a_report);
     CPPUNIT_TEST(places_include_loads_on_their_way);
     CPPUNIT_TEST(lost_answer_means_a_report_before_the_next_order);
     CPPUNIT_TEST(every_order_carries_the_count_it_was_decided_on);
@@ -154,6 +155,21 @@
         CPPUNIT_ASSERT(next.empty() || next[0].operation == order_operation::unload);
     }
 
+    // Otherwise the holder would say again that the adapter is there, and requests would go there in vain.
+    void refused_use_is_checked_by_a_report() {
+        begin(3, {"a1"});
+        now_ += seconds{1};
+        CPPUNIT_ASSERT(planner_.on_refused_use(name_, ref("a1"), now_));
+        CPPUNIT_ASSERT(orders().empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reads().size());
+        report(3, {});
+        planner_.on_wanted(name_, ref("a1"), now_);
+        const auto load = orders();
+        CPPUNIT_ASSERT(load.at(0).operation == order_operation::load);
+        planner_.on_outcome(directory_, load[0], order_outcome::accepted, now_);
+        CPPUNIT_ASSERT(!planner_.on_refused_use(name_, ref("a1"), now_));
+    }
+
     void places_include_loads_on_their_way() {
         begin(0, {"a1"});
         planner_.on_wanted(name_, ref("a2"), now_);
--- a/modules/serving/backend_directory.cpp
+++ b/modules/serving/backend_directory.cpp
@@ -14,6 +14,9 @@
 constexpr std::size_t remembered_adapters = 30;
 /** What a holder told goes before the platform's entry for this long: entries lag by a check-in and more. */
 constexpr auto holder_word_valid = std::chrono::seconds{4};
+/** A server that begins no answer for this long, while it has requests, is taken to hang; well beyond the
+    latency targets of the services, and far below their callers' deadlines. */
+constexpr auto stall_limit = std::chrono::milliseconds{1500};
 /** Pause after a full server refused a request; about the time of a few of its requests. */
 constexpr auto refused_avoidance = std::chrono::milliseconds{100};
 
@@ -28,6 +31,18 @@
     return adapter == adapters.end() ? std::nullopt : std::optional{adapter->second};
 }
 
+bool backend::is_avoided(time_point now) const {
+    return avoid_until > now || (unanswered > 0 && now - last_progress > stall_limit);
+}
+
+std::uint32_t backend::avoided_by_others() const {
+    std::uint32_t total = 0;
+    for (const auto& [peer, work] : peer_work) {
+        total += work.avoided_by;
+    }
+    return total;
+}
+
 std::uint32_t backend::total_in_flight() const {
     std::uint32_t total = in_flight;
     for (const auto& [peer, work] : peer_work) {
@@ -36,6 +51,14 @@
     return total;
 }
 
+std::uint32_t backend::total_streaming() const {
+    std::uint32_t total = streaming;
+    for (const auto& [peer, work] : peer_work) {
+        total += work.streaming;
+    }
+    return total;
+}
+
 std::uint64_t backend::total_pending_tokens() const {
     std::uint64_t total = pending_tokens;
     for (const auto& [peer, work] : peer_work) {
@@ -174,6 +197,21 @@
     }
 }
 
+void backend_directory::on_sent(const server_name& name, time_point now) {
+    backend* server = find(name);
+    if (server != nullptr && server->unanswered++ == 0) {
+        server->last_progress = now;
+    }
+}
+
+void backend_directory::on_answer_begun(const server_name& name, std::uint64_t started_at, time_point now) {
+    backend* server = find(name);
+    if (server != nullptr && server->listing.started_at == started_at && server->unanswered > 0) {
+        --server->unanswered;
+        server->last_progress = now;
+    }
+}
+
 void backend_directory::on_success(const server_name& name) {
     backend* server = find(name);
     if (server != nullptr) {
--- a/modules/serving/include/lovageledge/serving/adapter_planner.hpp
+++ b/modules/serving/include/lovageledge/serving/adapter_planner.hpp
@@ -87,6 +87,10 @@
 
     /** A request needs an adapter on a server. */
     void on_wanted(const server_name& server, const adapter_ref& ref, time_point now);
+    /** A server refused a request since it lacks an adapter that it is believed to hold.
+        @returns true if the server is asked what it holds before its next order; false if orders that were
+        carried out lately explain the refusal */
+    bool on_refused_use(const server_name& server, const adapter_ref& ref, time_point now);
     /** A request was sent to a server that holds the adapter. */
     void on_used(const server_name& server, const adapter_ref& ref, time_point now);
 
--- a/modules/serving/include/lovageledge/serving/backend_directory.hpp
+++ b/modules/serving/include/lovageledge/serving/backend_directory.hpp
@@ -55,7 +55,11 @@
 /** What other gateways have under way at a server, as they were last told to. */
 struct peer_server_work {
     std::uint32_t in_flight = 0;
+    /** Streams among them whose first event has come. */
+    std::uint32_t streaming = 0;
     std::uint64_t pending_tokens = 0;
+    /** Gateways that avoid the server, since it fails or stalls. */
+    std::uint32_t avoided_by = 0;
     /** Adapters in use; empty where only sums are told. */
     std::set<adapter_ref> in_use;
     /** Places that are in use by all gateways, where only sums are told. */
@@ -81,6 +85,8 @@
     time_point load_reported{};
     /** Requests of this instance that were sent and not answered yet. */
     std::uint32_t in_flight = 0;
+    /** Streams among them whose first event has come: they pause while prompts are read. */
+    std::uint32_t streaming = 0;
     /** Prompt tokens of this instance's requests that have no first event yet. */
     std::uint64_t pending_tokens = 0;
     std::map<instance_name, peer_server_work> peer_work;
@@ -88,6 +94,10 @@
     std::uint32_t consecutive_failures = 0;
     /** No new work before this time, unless nobody else can take it. */
     time_point avoid_until{};
+    /** Requests of this instance whose answer has not begun. */
+    std::uint32_t unanswered = 0;
+    /** When an answer of the server last began, or a request was sent while none was unanswered. */
+    time_point last_progress{};
     /** The server was full lately: others are preferred until this time. */
     time_point full_until{};
     /** When the prompt part was last sent here, by adapter and part. */
@@ -97,7 +107,12 @@
     /** Requests of this instance that run or wait there, by adapter. */
     std::map<adapter_ref, std::uint32_t> adapters_in_use;
 
+    /** @returns true if this instance avoids the server: it failed lately, or answers nothing at all */
+    bool is_avoided(time_point now) const;
+    /** @returns other gateways that avoid it */
+    std::uint32_t avoided_by_others() const;
     std::uint32_t total_in_flight() const;
+    std::uint32_t total_streaming() const;
     std::uint64_t total_pending_tokens() const;
     /** @returns true if any gateway is known to have a request for the adapter there */
     bool is_in_use(const adapter_ref& ref) const { return adapters_in_use.contains(ref) || peers_use(ref); }
@@ -136,6 +151,10 @@
     /** The server refused a request since it does not hold the adapter. */
     void on_adapter_missing(const server_name& name, const adapter_ref& ref);
 
+    /** A request was sent to the server. */
+    void on_sent(const server_name& name, time_point now);
+    /** An answer to a request has begun, or will not come. */
+    void on_answer_begun(const server_name& name, std::uint64_t started_at, time_point now);
     /** An answer began: the server works. */
     void on_success(const server_name& name);
     /** The server was full: it is avoided for a moment, which is no failure. */
--- a/modules/serving/include/lovageledge/serving/told_work.hpp
+++ b/modules/serving/include/lovageledge/serving/told_work.hpp
@@ -17,17 +17,13 @@
     /** Begins a new message: what was told before no longer stands. */
     void clear() { told_.clear(); }
     /** Notes own work at a server as told. */
-    void note(const server_name& server, std::uint32_t in_flight, std::uint64_t pending_tokens);
+    void note(const server_name& server, const peer_server_work& work);
     /** @param totals of all at the server, own work included
         @returns the work of the others; never below zero, since totals may be older than what was told */
     peer_server_work others(const server_name& server, const peer_server_work& totals) const;
 
 private:
-    struct own_part {
-        std::uint32_t in_flight = 0;
-        std::uint64_t pending_tokens = 0;
-    };
-    std::map<server_name, own_part> told_;
+    std::map<server_name, peer_server_work> told_;
 };
 
 } // namespace lovageledge
--- a/modules/serving/server_selector.cpp
+++ b/modules/serving/server_selector.cpp
@@ -9,6 +9,8 @@
 constexpr std::size_t remembered_parts = 200;
 /** Added to servers that failed lately, so that they are chosen only if nothing else is left. */
 constexpr auto avoided_penalty = std::chrono::seconds{5};
+/** Other gateways that must avoid a server before it is avoided here: a single one may itself be cut off. */
+constexpr std::uint32_t avoiding_gateways = 2;
 
 duration milliseconds_of(double value) {
     return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>{value});
@@ -52,7 +54,7 @@
     duration estimate = reading;
     if (reading > settings_.pause_free_reading) {
         // Streams that run there pause while prompts are read: all of them become late.
-        estimate += (reading - settings_.pause_free_reading) * server.total_in_flight() *
+        estimate += (reading - settings_.pause_free_reading) * server.total_streaming() *
                     settings_.pause_weight_percent / 100;
     }
     estimate += settings_.engine_running * server.total_in_flight();
@@ -106,6 +108,19 @@
     return penalty;
 }
 
+duration server_selector::length_penalty(const backend& server, const work_item& work) const {
+    if (!work.needs_weights()) {
+        return duration::zero();
+    }
+    constexpr std::uint64_t percent = 100;
+    const bool is_for_short = server.name_hash % percent < settings_.short_share_percent;
+    const bool is_long = work.prompt_tokens > settings_.long_prompt_tokens;
+    if (is_long == is_for_short) {
+        return is_long ? settings_.long_among_short_penalty : settings_.short_among_long_penalty;
+    }
+    return duration::zero();
+}
+
 duration server_selector::spread_of(const backend& server, std::uint64_t request_key) const {
     constexpr std::uint64_t steps = 256;
     const std::uint64_t step = rendezvous_weight(request_key, server.name_hash) % steps;
@@ -144,7 +159,8 @@
         }
         server_choice choice{server->listing.name, !holds(*server, versions, work, now),
                              !is_local_(server->listing.zone), estimate_(*server, work, now)};
-        duration cost = choice.estimate + spread_of(*server, request_key);
+        duration cost =
+            choice.estimate + spread_of(*server, request_key) + length_penalty(*server, work);
         if (choice.needs_load) {
             const bool is_warm =
                 server->held_before.contains(work.weights) && !is_outdated(*server, versions, work);
@@ -158,7 +174,7 @@
         if (choice.is_remote) {
             cost += work.needs_weights() ? settings_.remote_engine_penalty : settings_.remote_plain_penalty;
         }
-        if (server->avoid_until > now) {
+        if (server->is_avoided(now) || server->avoided_by_others() >= avoiding_gateways) {
             cost += avoided_penalty;
         }
         if (server->full_until > now) {
--- a/modules/serving/server_selector_test.cpp
+++ b/modules/serving/server_selector_test.cpp
@@ -18,6 +18,9 @@
     CPPUNIT_TEST(required_version_excludes_older_holders);
     CPPUNIT_TEST(server_without_base_model_or_excluded_is_not_chosen);
     CPPUNIT_TEST(failing_server_is_last);
+    CPPUNIT_TEST(long_and_short_prompts_prefer_different_engines);
+    CPPUNIT_TEST(server_that_answers_nothing_is_avoided);
+    CPPUNIT_TEST(server_that_others_avoid_is_avoided);
     CPPUNIT_TEST(equal_servers_share_the_work);
     CPPUNIT_TEST(spread_never_outweighs_a_longer_queue);
     CPPUNIT_TEST(plain_service_prefers_the_shorter_queue);
@@ -129,10 +132,51 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"far"}, pick(work()));
     }
 
+    // Streams of short prompts pause while an engine reads long ones beside them.
+    void long_and_short_prompts_prefer_different_engines() {
+        for (int i = 0; i < 20; ++i) {
+            add("s" + std::to_string(i), "here", true);
+        }
+        std::set<std::string> for_short;
+        std::set<std::string> for_long;
+        for (int i = 0; i < 200; ++i) {
+            work_item item = work();
+            item.id = request_id{"request-" + std::to_string(i)};
+            for_short.insert(pick(item));
+            item.prompt_tokens = 9000;
+            for_long.insert(pick(item));
+        }
+        for (const std::string& name : for_short) {
+            CPPUNIT_ASSERT(!for_long.contains(name));
+        }
+        CPPUNIT_ASSERT(for_short.size() > 3 && for_long.size() > 3);
+    }
+
+    // Its health check is good and it takes connections, but no answer ever begins.
+    void server_that_answers_nothing_is_avoided() {
+        add("hanging", "here", true);
+        add("far", "there", true);
+        directory_.on_sent(server_name{"hanging"}, now_ - seconds{3});
+        CPPUNIT_ASSERT_EQUAL(std::string{"far"}, pick(work()));
+        directory_.on_answer_begun(server_name{"hanging"}, 0, now_);
+        CPPUNIT_ASSERT_EQUAL(std::string{"hanging"}, pick(work()));
+    }
+
+    void server_that_others_avoid_is_avoided() {
+        add("hanging", "here", true).peer_work[instance_name{"holder"}].avoided_by = 1;
+        add("far", "there", true);
+        CPPUNIT_ASSERT_EQUAL(std::string{"hanging"}, pick(work()));
+        directory_.find(server_name{"hanging"})->peer_work[instance_name{"holder"}].avoided_by = 2;
+        CPPUNIT_ASSERT_EQUAL(std::string{"far"}, pick(work()));
+    }
+
     // Many gateways hear the same load at the same moment.
     void equal_servers_share_the_work() {
         constexpr int requests = 300;
         constexpr int servers = 3;
+        selector_settings settings;
+        settings.short_share_percent = 100; // Otherwise they differ by the length of prompts that they prefer.
+        const server_selector selector{settings, [](const data_centre_name&) { return true; }};
         std::map<std::string, int> chosen;
         for (int i = 0; i < servers; ++i) {
             add("s" + std::to_string(i), "here", true);
@@ -140,7 +184,7 @@
         for (int i = 0; i < requests; ++i) {
             work_item item = work();
             item.id = request_id{"request-" + std::to_string(i)};
-            ++chosen[pick(item)];
+            ++chosen[selector.pick(directory_, versions_, item, now_)->server.text()];
         }
         for (const auto& [server, count] : chosen) {
             CPPUNIT_ASSERT(count > requests / servers / 2);
--- a/modules/serving/store_feed_test.cpp
+++ b/modules/serving/store_feed_test.cpp
@@ -57,13 +57,15 @@
 
     void own_work_is_not_counted_twice() {
         told_work told;
-        told.note(server_name{"s1"}, 2, 3000);
+        told.note(server_name{"s1"}, {2, 1, 3000, 0, {}, 0});
         peer_server_work totals;
         totals.in_flight = 5;
+        totals.streaming = 4;
         totals.pending_tokens = 9000;
         totals.used_places = 3;
         const peer_server_work others = told.others(server_name{"s1"}, totals);
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{3}, others.in_flight);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{3}, others.streaming);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{6000}, others.pending_tokens);
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{3}, others.used_places);
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{5}, told.others(server_name{"s2"}, totals).in_flight);
@@ -71,7 +73,7 @@
 
     void totals_older_than_own_word_never_fall_below_zero() {
         told_work told;
-        told.note(server_name{"s1"}, 4, 9000);
+        told.note(server_name{"s1"}, {4, 1, 9000, 1, {}, 0});
         peer_server_work totals;
         totals.in_flight = 1;
         const peer_server_work others = told.others(server_name{"s1"}, totals);
--- a/modules/serving/told_work.cpp
+++ b/modules/serving/told_work.cpp
@@ -4,8 +4,8 @@
 
 namespace lovageledge {
 
-void told_work::note(const server_name& server, std::uint32_t in_flight, std::uint64_t pending_tokens) {
-    told_[server] = {in_flight, pending_tokens};
+void told_work::note(const server_name& server, const peer_server_work& work) {
+    told_[server] = work;
 }
 
 peer_server_work told_work::others(const server_name& server, const peer_server_work& totals) const {
@@ -13,6 +13,8 @@
     const auto own = told_.find(server);
     if (own != told_.end()) {
         result.in_flight -= std::min(result.in_flight, own->second.in_flight);
+        result.streaming -= std::min(result.streaming, own->second.streaming);
+        result.avoided_by -= std::min(result.avoided_by, own->second.avoided_by);
         result.pending_tokens -= std::min(result.pending_tokens, own->second.pending_tokens);
     }
     return result;
--- a/tests/soak/relay.py
+++ b/tests/soak/relay.py
@@ -15,7 +15,7 @@
 
     async def serve(self, address):
         host, port = address.split(":")
-        self.listener = await asyncio.start_server(self._connection, host, int(port))
+        return await asyncio.start_server(self._connection, host, int(port))
 
     def reset(self):
         for writer in list(self.pairs):
@@ -38,9 +38,13 @@
             writer.transport.abort()
             return
         self.pairs |= {writer, far_writer}
-        await asyncio.gather(self._pump(reader, far_writer, lambda: self.is_silent_out),
-                             self._pump(far_reader, writer, lambda: self.is_silent_back))
-        self.pairs -= {writer, far_writer}
+        try:
+            await asyncio.gather(self._pump(reader, far_writer, lambda: self.is_silent_out),
+                                 self._pump(far_reader, writer, lambda: self.is_silent_back))
+        except asyncio.CancelledError:
+            pass  # The soak is over.
+        finally:
+            self.pairs -= {writer, far_writer}
 
     async def _pump(self, reader, writer, is_silent):
         try:
--- a/tests/soak/server.py
+++ b/tests/soak/server.py
@@ -41,6 +41,7 @@
     async def serve(self, address):
         host, port = address.split(":")
         self.listener = await asyncio.start_server(self._connection, host, int(port))
+        return self.listener
 
     def crash(self):
         self.listener.close()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -62,7 +62,7 @@
         self.truth, self.store = Truth(), Store()
         self.servers, self.relays, self.processes, self.stopping = {}, {}, {}, {}
         self.version, self.disturbed_until, self.next_port = 0, 0.0, port + 500
-        self.outcomes = {}
+        self.outcomes, self.listeners = {}, []
         self.over = False
 
     # The deployment.
@@ -74,10 +74,10 @@
         return sorted(ZONES)[index % len(ZONES)]
 
     async def start(self):
-        await self.store.serve(f"127.0.0.1:{self.port}")
+        self.listeners.append(await self.store.serve(f"127.0.0.1:{self.port}"))
         for index in range(self.count):
             relay = self.relays[self.name(index)] = Relay(f"127.0.0.1:{self.port}")
-            await relay.serve(f"127.0.0.1:{self.port + 1 + index}")
+            self.listeners.append(await relay.serve(f"127.0.0.1:{self.port + 1 + index}"))
         for number in range(6):
             await self.add_server("engine" if number < 4 else "plain", sorted(ZONES)[number % 2])
         await self.configure()
@@ -91,9 +91,8 @@
         self.next_port += 2
         server = Server(name, service, service == "engine", self.truth)
         server.zone = zone
-        await server.serve(f"127.0.0.1:{port}")
         server.relay = Relay(f"127.0.0.1:{port}")
-        await server.relay.serve(f"127.0.0.1:{port + 1}")
+        self.listeners += [await server.serve(f"127.0.0.1:{port}"), await server.relay.serve(f"127.0.0.1:{port + 1}")]
         server.address = f"127.0.0.1:{port + 1}"
         self.servers[name] = server
         await self.store.put("servers", name, server.entry(server.address))
@@ -399,6 +398,13 @@
 
     async def run(self, seconds, callers):
         self.began = time.monotonic()
+        try:
+            await self.play(seconds, callers)
+        finally:
+            for listener in self.listeners:
+                listener.close()
+
+    async def play(self, seconds, callers):
         await self.start()
         tasks = [asyncio.create_task(self.caller(i)) for i in range(callers)] + [asyncio.create_task(self.refresh_entries())]
         await self.faults(seconds)
