--- a/modules/gateway/gateway_settings.cpp
+++ b/modules/gateway/gateway_settings.cpp
@@ -73,10 +73,6 @@
     reader.time_ms(section, "other_home_ms", selector.other_home);
     reader.number(section, "fetch_shared_by", selector.fetch_shared_by, 1, 1'000'000);
     reader.time_ms(section, "spread_ms", selector.spread);
-    reader.number(section, "short_share_percent", selector.short_share_percent, 0, 100);
-    reader.number(section, "long_prompt_tokens", selector.long_prompt_tokens, 1, 1'000'000);
-    reader.time_ms(section, "long_among_short_penalty_ms", selector.long_among_short_penalty);
-    reader.time_ms(section, "short_among_long_penalty_ms", selector.short_among_long_penalty);
     reader.time_ms(section, "pause_free_reading_ms", selector.pause_free_reading);
     reader.number(section, "pause_weight_percent", selector.pause_weight_percent, 0, 1000);
     reader.time_ms(section, "state_interval_ms", settings.state_interval);
--- a/modules/gateway/gateway_state.cpp
+++ b/modules/gateway/gateway_state.cpp
@@ -7,8 +7,8 @@
 gateway_state::gateway_state(gateway_settings given_settings, wire_codec given_codec,
                              platform_port given_platform)
     : settings{std::move(given_settings)}, codec{std::move(given_codec)}, platform{std::move(given_platform)},
-      store{platform.store},
-      selector{settings.selector, [this](const data_centre_name& name) { return is_local(name); }} {
+      store{platform.store}, selector{settings.selector,
+                                      [this](const data_centre_name& name) { return is_local(name); }} {
     retries.set_allowance(settings.retries);
     versions.set_grace(settings.version_limit / 2);
 }
--- a/modules/gateway/include/lovageledge/gateway/wire_codec.hpp
+++ b/modules/gateway/include/lovageledge/gateway/wire_codec.hpp
@@ -101,8 +101,8 @@
     std::uint64_t fence = 0;
 };
 
-/** What a gateway and its reader of the platform's store tell each other, as functions. Called on the gateway's
-    thread. */
+/** What a gateway and its reader of the platform's store tell each other, as functions. Called on the
+   gateway's thread. */
 struct store_reader {
     /** @returns up to where each kind has been read; empty if the store can't be read now */
     std::function<std::vector<store_position>()> positions = [] { return std::vector<store_position>{}; };
@@ -121,7 +121,6 @@
     std::function<asio::awaitable<write_result>(std::string name, std::string json,
                                                 std::optional<std::uint64_t> expected)>
         write_record;
-    std::function<asio::awaitable<bool>(std::string name)> remove_record;
     std::function<asio::awaitable<order_result>(weights_order order, std::string address,
                                                 order_authority authority)>
         send_order;
--- a/modules/gateway/load_exchange.cpp
+++ b/modules/gateway/load_exchange.cpp
@@ -93,7 +93,8 @@
                                totals_list& totals) const {
     for (const auto& [name, server] : state_.directory.servers()) {
         const std::uint32_t in_flight = server.total_in_flight();
-        const std::uint32_t avoided_by = server.avoided_by_others() + (server.is_avoided(state_.now()) ? 1 : 0);
+        const std::uint32_t avoided_by =
+            server.avoided_by_others() + (server.is_avoided(state_.now()) ? 1 : 0);
         if ((in_flight == 0 && avoided_by == 0) || !is_meant(server)) {
             continue;
         }
--- a/modules/gateway/order_desk.cpp
+++ b/modules/gateway/order_desk.cpp
@@ -67,7 +67,8 @@
 order_desk::order_desk(asio::io_context& context, gateway_state& state)
     : context_{context}, state_{state}, peers_{state.settings,
                                                [this](const protocol::Envelope& message) {
-                                                   asio::post(context_, [this, message] { on_message(message); });
+                                                   asio::post(context_,
+                                                              [this, message] { on_message(message); });
                                                }},
       exchange_{state, peers_,
                 [this](const server_name& server, const adapter_ref& ref) {
@@ -380,8 +381,7 @@
 
 void order_desk::note_want(const backend& server, const adapter_ref& ref, bool was_refused) {
     planner_.on_wanted(server.listing.name, ref, state_.now());
-    const bool is_doubted =
-        was_refused && planner_.on_refused_use(server.listing.name, ref, state_.now());
+    const bool is_doubted = was_refused && planner_.on_refused_use(server.listing.name, ref, state_.now());
     if (!is_doubted && server.listing.weights.version_of(ref)) {
         publish_weights(server);
     }
--- a/modules/gateway/request_flow.cpp
+++ b/modules/gateway/request_flow.cpp
@@ -144,8 +144,7 @@
     if (service != nullptr && service->engine) {
         work_.weights = facts_.weights;
         work_.adapter_places = service->engine->adapter_slots;
-        work_.demand =
-            state_.demand.recent(work_.weights, started_) * static_cast<double>(desk_.instances());
+        work_.demand = state_.demand.recent(work_.weights, started_) * static_cast<double>(desk_.instances());
         state_.demand.on_request(work_.weights, started_);
     }
     work_.prompt_tokens = facts_.prompt_tokens;
--- a/modules/serving/backend_directory.cpp
+++ b/modules/serving/backend_directory.cpp
@@ -11,7 +11,7 @@
 constexpr auto longest_avoidance = std::chrono::milliseconds{2000};
 constexpr std::uint32_t doublings_limit = 3;
 /** Adapters that an engine keeps in its host's memory, about; the platform does not tell the number. */
-constexpr std::size_t remembered_adapters = 30;
+constexpr std::size_t remembered_adapters = 50;
 /** What a holder told goes before the platform's entry for this long: entries lag by a check-in and more. */
 constexpr auto holder_word_valid = std::chrono::seconds{4};
 /** A server that begins no answer for this long, while it has requests, is taken to hang; well beyond the
--- a/modules/serving/include/lovageledge/serving/server_selector.hpp
+++ b/modules/serving/include/lovageledge/serving/server_selector.hpp
@@ -82,14 +82,6 @@
     duration pause_free_reading = std::chrono::milliseconds{350};
     /** Weight of the time beyond it, for each stream that runs there. */
     std::uint32_t pause_weight_percent = 20;
-    /** Share of the engines that short prompts prefer; long ones prefer the others. Both need about as many. */
-    std::uint32_t short_share_percent = 50;
-    /** Prompts with more tokens count as long. */
-    std::uint32_t long_prompt_tokens = 2500;
-    /** Wait that is accepted before a long prompt goes among the streams of short ones. */
-    duration long_among_short_penalty = std::chrono::milliseconds{300};
-    /** Wait that is accepted before a short prompt goes where long ones are read. */
-    duration short_among_long_penalty = std::chrono::milliseconds{150};
     /** A prompt part that was sent at most this long ago counts as kept. */
     duration part_kept = std::chrono::seconds{20};
     /** A load report counts for this long. */
@@ -97,8 +89,8 @@
     /** Added to a first load anywhere but at the adapter's home, which all gateways agree on: two of them
        that need an adapter at the same time would fetch it twice. */
     duration other_home = std::chrono::milliseconds{500};
-    /** Servers whose costs differ by less than this share the work at random: gateways that know the same load
-       would otherwise all choose the same server. */
+    /** Servers whose costs differ by less than this share the work at random: gateways that know the same
+       load would otherwise all choose the same server. */
     duration spread = std::chrono::milliseconds{20};
 };
 
@@ -108,8 +100,7 @@
     The load pattern it answers: popularity is skewed and shifts, each engine has few places for adapters, and
     a long prompt ahead in an engine's queue costs more than the request's own work. So an estimate counts
     prompts that wait, the part of the prompt that is not kept there, a load of the adapter, and the path.
-    Streams pause while an engine reads long prompts beside them, so that short and long prompts prefer
-    different engines. Not thread-safe.
+    Not thread-safe.
 */
 class server_selector {
 public:
@@ -144,8 +135,6 @@
     /** @returns what a load of the adapter there costs, beyond the time that it takes */
     duration load_penalty(const backend& server, const work_item& work, bool is_warm, time_point now) const;
     duration estimate_engine(const backend& server, const work_item& work, time_point now) const;
-    /** @returns the wait that is accepted before this prompt goes among prompts of the other length */
-    duration length_penalty(const backend& server, const work_item& work) const;
     duration estimate_plain(const backend& server, time_point now) const;
     /** @returns a part of the spread that differs from request to request */
     duration spread_of(const backend& server, std::uint64_t request_key) const;
--- a/modules/serving/server_selector.cpp
+++ b/modules/serving/server_selector.cpp
@@ -108,19 +108,6 @@
     return penalty;
 }
 
-duration server_selector::length_penalty(const backend& server, const work_item& work) const {
-    if (!work.needs_weights()) {
-        return duration::zero();
-    }
-    constexpr std::uint64_t percent = 100;
-    const bool is_for_short = server.name_hash % percent < settings_.short_share_percent;
-    const bool is_long = work.prompt_tokens > settings_.long_prompt_tokens;
-    if (is_long == is_for_short) {
-        return is_long ? settings_.long_among_short_penalty : settings_.short_among_long_penalty;
-    }
-    return duration::zero();
-}
-
 duration server_selector::spread_of(const backend& server, std::uint64_t request_key) const {
     constexpr std::uint64_t steps = 256;
     const std::uint64_t step = rendezvous_weight(request_key, server.name_hash) % steps;
@@ -159,8 +146,7 @@
         }
         server_choice choice{server->listing.name, !holds(*server, versions, work, now),
                              !is_local_(server->listing.zone), estimate_(*server, work, now)};
-        duration cost =
-            choice.estimate + spread_of(*server, request_key) + length_penalty(*server, work);
+        duration cost = choice.estimate + spread_of(*server, request_key);
         if (choice.needs_load) {
             const bool is_warm =
                 server->held_before.contains(work.weights) && !is_outdated(*server, versions, work);
--- a/modules/serving/server_selector_test.cpp
+++ b/modules/serving/server_selector_test.cpp
@@ -18,7 +18,6 @@
     CPPUNIT_TEST(required_version_excludes_older_holders);
     CPPUNIT_TEST(server_without_base_model_or_excluded_is_not_chosen);
     CPPUNIT_TEST(failing_server_is_last);
-    CPPUNIT_TEST(long_and_short_prompts_prefer_different_engines);
     CPPUNIT_TEST(server_that_answers_nothing_is_avoided);
     CPPUNIT_TEST(server_that_others_avoid_is_avoided);
     CPPUNIT_TEST(equal_servers_share_the_work);
@@ -132,26 +131,6 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"far"}, pick(work()));
     }
 
-    // Streams of short prompts pause while an engine reads long ones beside them.
-    void long_and_short_prompts_prefer_different_engines() {
-        for (int i = 0; i < 20; ++i) {
-            add("s" + std::to_string(i), "here", true);
-        }
-        std::set<std::string> for_short;
-        std::set<std::string> for_long;
-        for (int i = 0; i < 200; ++i) {
-            work_item item = work();
-            item.id = request_id{"request-" + std::to_string(i)};
-            for_short.insert(pick(item));
-            item.prompt_tokens = 9000;
-            for_long.insert(pick(item));
-        }
-        for (const std::string& name : for_short) {
-            CPPUNIT_ASSERT(!for_long.contains(name));
-        }
-        CPPUNIT_ASSERT(for_short.size() > 3 && for_long.size() > 3);
-    }
-
     // Its health check is good and it takes connections, but no answer ever begins.
     void server_that_answers_nothing_is_avoided() {
         add("hanging", "here", true);
@@ -175,7 +154,8 @@
         constexpr int requests = 300;
         constexpr int servers = 3;
         selector_settings settings;
-        settings.short_share_percent = 100; // Otherwise they differ by the length of prompts that they prefer.
+        settings.short_share_percent =
+            100; // Otherwise they differ by the length of prompts that they prefer.
         const server_selector selector{settings, [](const data_centre_name&) { return true; }};
         std::map<std::string, int> chosen;
         for (int i = 0; i < servers; ++i) {
@@ -184,7 +164,7 @@
         for (int i = 0; i < requests; ++i) {
             work_item item = work();
             item.id = request_id{"request-" + std::to_string(i)};
-            ++chosen[selector.pick(directory_, versions_, item, now_)->server.text()];
+            ++chosen[pick(item)];
         }
         for (const auto& [server, count] : chosen) {
             CPPUNIT_ASSERT(count > requests / servers / 2);
--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -74,6 +74,10 @@
     for (const http_header& header : headers) {
         answer.set(header.name, header.value);
     }
+    co_return co_await write_whole(std::move(answer));
+}
+
+asio::awaitable<bool> http_exchange::write_whole(http::response<http::string_body> answer) {
     answer.keep_alive(request_.keep_alive());
     answer.prepare_payload();
     stream_.expires_after(limits_.write_timeout);
@@ -133,12 +137,7 @@
     for (const http_header& header : headers) {
         answer.insert(header.name, header.value);
     }
-    answer.keep_alive(request_.keep_alive());
-    answer.prepare_payload();
-    stream_.expires_after(limits_.write_timeout);
-    boost::system::error_code code;
-    co_await http::async_write(stream_, answer, asio::redirect_error(asio::use_awaitable, code));
-    co_return co_await finish_write(code);
+    co_return co_await write_whole(std::move(answer));
 }
 
 asio::awaitable<bool> http_exchange::write(std::string_view bytes) {
--- a/modules/transport/include/lovageledge/transport/http_server.hpp
+++ b/modules/transport/include/lovageledge/transport/http_server.hpp
@@ -82,6 +82,7 @@
 
 private:
     asio::awaitable<bool> finish_write(boost::system::error_code code);
+    asio::awaitable<bool> write_whole(http::response<http::string_body> answer);
     asio::awaitable<bool> write_head(http::response<http::empty_body> answer);
 
     beast::tcp_stream& stream_;
--- a/modules/transport/peer_socket_test.cpp
+++ b/modules/transport/peer_socket_test.cpp
@@ -17,7 +17,7 @@
     CPPUNIT_TEST(signal_does_not_end_the_receiver);
     CPPUNIT_TEST_SUITE_END();
 
-    static constexpr const char* address_ = "127.0.0.1:20917";
+    static constexpr const char* address = "127.0.0.1:20917";
 
     static void signal_other_threads(int number) {
         const auto own = ::syscall(SYS_gettid);
@@ -38,9 +38,9 @@
         std::atomic<int> received{0};
         peer_socket receiver{[&](const protocol::Envelope&) { ++received; }, [](const error&) {}};
         error why;
-        CPPUNIT_ASSERT(receiver.listen(address_, why));
+        CPPUNIT_ASSERT(receiver.listen(address, why));
         peer_socket sender{[](const protocol::Envelope&) {}, [](const error&) {}};
-        sender.connect(instance_name{"receiver"}, address_);
+        sender.connect(instance_name{"receiver"}, address);
         signal_other_threads(SIGUSR1);
         protocol::Envelope message;
         message.set_protocol_version(peer_protocol_version);
