The selector's tests compile again without the reverted preference

Ruled out: other uses, by a whole build of library, programs and tests. Conclusion: no change of behaviour.

--- a/modules/serving/server_selector_test.cpp
+++ b/modules/serving/server_selector_test.cpp
@@ -153,11 +153,6 @@
     void equal_servers_share_the_work() {
         constexpr int requests = 300;
         constexpr int servers = 3;
-        selector_settings settings;
-        settings.short_share_percent =
-            100; // Otherwise they differ by the length of prompts that they prefer.
-        const server_selector selector{settings, [](const data_centre_name&) { return true; }};
-        std::map<std::string, int> chosen;
         for (int i = 0; i < servers; ++i) {
             add("s" + std::to_string(i), "here", true);
         }
