The selector's tests compile: the count of choices is declared again

Ruled out: other errors, by a build that ended without one, and a run of its result. Conclusion: no change of behaviour.

--- a/modules/serving/server_selector_test.cpp
+++ b/modules/serving/server_selector_test.cpp
@@ -1,6 +1,7 @@
 #include "lovageledge/serving/serving.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <map>
 
 namespace lovageledge {
 namespace {
@@ -153,6 +154,7 @@
     void equal_servers_share_the_work() {
         constexpr int requests = 300;
         constexpr int servers = 3;
+        std::map<std::string, int> chosen;
         for (int i = 0; i < servers; ++i) {
             add("s" + std::to_string(i), "here", true);
         }
