--- a/modules/serving/include/lovageledge/serving/server_selector.hpp
+++ b/modules/serving/include/lovageledge/serving/server_selector.hpp
@@ -58,7 +58,7 @@
     /** Wait that is accepted before a rare adapter is fetched from the store once more: each fetch is billed,
        at the price of some ten requests' bytes to another region. It is shared by the adapter's recent
        requests. */
-    duration fetch_penalty = std::chrono::milliseconds{2500};
+    duration fetch_penalty = std::chrono::milliseconds{3500};
     /** Recent requests for an adapter that halve the wait which is accepted before it is fetched again. */
     std::uint32_t fetch_shared_by = 7;
     /** Added where a load evicts another adapter, which may soon be wanted again. */
