A loaded adapter is kept for the request that waits for it; recent use lasts 600 ms

Ruled out: late orders of a former holder (one fence and one holder all the while). Unit tests 110 green, two of them new and red before.

--- a/modules/serving/adapter_planner.cpp
+++ b/modules/serving/adapter_planner.cpp
@@ -283,6 +283,7 @@
     if (outcome == order_outcome::holds) {
         plan.coming.erase(order.weights);
         plan.wants.erase(order.weights);
+        plan.last_used[order.weights] = now; // The requests that wait for it are on their way.
         listing.weights.adapters[order.weights] = order.version.value_or(1);
         server->weights_told = now;
         server->remember_weights(now);
--- a/modules/serving/adapter_planner_test.cpp
+++ b/modules/serving/adapter_planner_test.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(want_leads_to_a_load_and_a_check);
     CPPUNIT_TEST(full_server_evicts_the_least_recently_used);
     CPPUNIT_TEST(adapter_in_use_is_never_evicted);
+    CPPUNIT_TEST(loaded_adapter_is_kept_for_the_request_that_waits);
+    CPPUNIT_TEST(use_that_other_data_centres_tell_late_is_respected);
     CPPUNIT_TEST(eviction_that_waits_frees_no_place);
     CPPUNIT_TEST(refused_use_is_checked_by_a_report);
     CPPUNIT_TEST(places_include_loads_on_their_way);
@@ -140,6 +142,33 @@
         CPPUNIT_ASSERT(orders().empty());
     }
 
+    // Many rare adapters at once: each was evicted for the next as soon as it was there.
+    void loaded_adapter_is_kept_for_the_request_that_waits() {
+        begin(3, {"a1"});
+        directory_.find(name_)->adapters_in_use[ref("a1")] = 1;
+        planner_.on_wanted(name_, ref("a2"), now_);
+        const auto load = orders();
+        planner_.on_outcome(directory_, load.at(0), order_outcome::accepted, now_);
+        now_ += milliseconds{700};
+        const auto check = orders();
+        CPPUNIT_ASSERT(check.at(0).is_check);
+        planner_.on_outcome(directory_, check[0], order_outcome::holds, now_);
+        planner_.on_wanted(name_, ref("a3"), now_);
+        CPPUNIT_ASSERT(orders().empty());
+    }
+
+    // The state of a gateway and the summary of its data centre come one after the other.
+    void use_that_other_data_centres_tell_late_is_respected() {
+        begin(3, {"a1", "a2"});
+        planner_.on_used(name_, ref("a1"), now_);
+        planner_.on_used(name_, ref("a2"), now_);
+        now_ += milliseconds{500};
+        planner_.on_wanted(name_, ref("a3"), now_);
+        CPPUNIT_ASSERT(orders().empty());
+        now_ += milliseconds{200};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders().size());
+    }
+
     // A request that this holder has not heard of yet uses the adapter: the engine unloads it later.
     void eviction_that_waits_frees_no_place() {
         begin(3, {"a1", "a2"});
--- a/modules/serving/include/lovageledge/serving/adapter_planner.hpp
+++ b/modules/serving/include/lovageledge/serving/adapter_planner.hpp
@@ -59,8 +59,10 @@
     std::size_t loads_per_server = 4;
     /** Wants are forgotten after this long. */
     duration want_valid = std::chrono::milliseconds{1500};
-    /** An adapter used less than this long ago is evicted only if no other can be. */
-    duration recent_use = std::chrono::milliseconds{300};
+    /** An adapter used less than this long ago is not evicted: the use may still go on, unknown here, and an
+       eviction that waits for it keeps all other orders of the server out. The time covers what other data
+       centres tell, state and summary together. */
+    duration recent_use = std::chrono::milliseconds{600};
 };
 
 /**
