--- a/modules/gateway/include/lovageledge/gateway/load_exchange.hpp
+++ b/modules/gateway/include/lovageledge/gateway/load_exchange.hpp
@@ -50,8 +50,13 @@
     using totals_list = google::protobuf::RepeatedPtrField<protocol::ServerTotals>;
     using fingerprint_list = google::protobuf::RepeatedPtrField<protocol::FingerprintReport>;
 
+    using server_filter = std::function<bool(const backend&)>;
+    using used_adapters = std::map<server_name, std::set<adapter_ref>>;
+
+    void add_all_work(const server_filter& is_meant, bool with_neighbours, const used_adapters& used,
+                      told_work& told, work_list& list) const;
     bool add_work(const backend& server, protocol::ServerWork& work, bool with_neighbours) const;
-    void add_totals(const std::function<bool(const backend&)>& is_meant, totals_list& totals) const;
+    void add_totals(const server_filter& is_meant, totals_list& totals) const;
     void add_fingerprints(fingerprint_list& reports) const;
     void begin_source(const instance_name& source);
     void take_work(const instance_name& source, const work_list& work);
@@ -62,8 +67,8 @@
     peer_directory& peers_;
     std::function<void(const server_name&, const adapter_ref&)> on_used_;
     /** Adapters used since they were last told, also by the gateways for which this one speaks. */
-    std::map<server_name, std::set<adapter_ref>> recently_used_;
-    std::map<data_centre_name, std::map<server_name, std::set<adapter_ref>>> recently_used_elsewhere_;
+    used_adapters recently_used_;
+    std::map<data_centre_name, used_adapters> recently_used_elsewhere_;
     /** What this gateway last told its holder. */
     told_work told_holder_;
     /** What this data centre's gateways were last said to do at the servers of another. */
--- a/modules/gateway/load_exchange.cpp
+++ b/modules/gateway/load_exchange.cpp
@@ -1,5 +1,7 @@
 #include "lovageledge/gateway/load_exchange.hpp"
 
+#include "weights_message.hpp"
+
 namespace lovageledge {
 namespace {
 
@@ -10,17 +12,6 @@
 /** A summary that has not changed is told again after this long, since messages may be dropped. */
 constexpr auto repeat_interval = std::chrono::seconds{1};
 
-protocol::WeightsRef to_message(const adapter_ref& ref) {
-    protocol::WeightsRef message;
-    message.set_model(ref.model);
-    message.set_adapter(ref.adapter);
-    return message;
-}
-
-adapter_ref to_ref(const protocol::WeightsRef& message) {
-    return {message.model(), message.adapter()};
-}
-
 /** Reads the sums that single gateways and holders tell alike. */
 template <class Message>
 peer_server_work to_sums(const Message& message) {
@@ -89,8 +80,30 @@
     return in_flight > 0 || avoided_by > 0;
 }
 
-void load_exchange::add_totals(const std::function<bool(const backend&)>& is_meant,
-                               totals_list& totals) const {
+void load_exchange::add_all_work(const server_filter& is_meant, bool with_neighbours,
+                                 const used_adapters& used, told_work& told, work_list& list) const {
+    told.clear();
+    for (const auto& [name, server] : state_.directory.servers()) {
+        if (!is_meant(server)) {
+            continue;
+        }
+        const auto used_there = used.find(name);
+        protocol::ServerWork work;
+        const bool is_busy = add_work(server, work, with_neighbours);
+        if (!is_busy && used_there == used.end()) {
+            continue;
+        }
+        if (used_there != used.end()) {
+            for (const adapter_ref& ref : used_there->second) {
+                *work.add_recently_used() = to_message(ref);
+            }
+        }
+        told.note(name, to_sums(work));
+        *list.Add() = std::move(work);
+    }
+}
+
+void load_exchange::add_totals(const server_filter& is_meant, totals_list& totals) const {
     for (const auto& [name, server] : state_.directory.servers()) {
         const std::uint32_t in_flight = server.total_in_flight();
         const std::uint32_t avoided_by =
@@ -139,22 +152,8 @@
     summary.set_data_centre(state_.settings.data_centre.text());
     told_work& told = told_elsewhere_[data_centre];
     auto& used = recently_used_elsewhere_[data_centre];
-    told.clear();
-    for (const auto& [name, server] : state_.directory.servers()) {
-        const auto used_there = used.find(name);
-        protocol::ServerWork work;
-        const bool is_meant = server.listing.zone == data_centre;
-        if (!is_meant || (!add_work(server, work, true) && used_there == used.end())) {
-            continue;
-        }
-        if (used_there != used.end()) {
-            for (const adapter_ref& ref : used_there->second) {
-                *work.add_recently_used() = to_message(ref);
-            }
-        }
-        told.note(name, to_sums(work));
-        *summary.add_work() = std::move(work);
-    }
+    const auto is_meant = [&](const backend& server) { return server.listing.zone == data_centre; };
+    add_all_work(is_meant, true, used, told, *summary.mutable_work());
     used.clear();
     const auto is_ours = [this](const backend& server) {
         return server.listing.zone == state_.settings.data_centre;
@@ -176,21 +175,8 @@
     own.set_data_centre(state_.settings.data_centre.text());
     own.set_stopping(is_stopping);
     add_fingerprints(*own.mutable_fingerprints());
-    told_holder_.clear();
-    for (const auto& [name, server] : state_.directory.servers()) {
-        const auto used = recently_used_.find(name);
-        protocol::ServerWork work;
-        if (!add_work(server, work, false) && used == recently_used_.end()) {
-            continue;
-        }
-        if (used != recently_used_.end()) {
-            for (const adapter_ref& ref : used->second) {
-                *work.add_recently_used() = to_message(ref);
-            }
-        }
-        told_holder_.note(name, to_sums(work));
-        *own.add_work() = std::move(work);
-    }
+    add_all_work([](const backend&) { return true; }, false, recently_used_, told_holder_,
+                 *own.mutable_work());
     recently_used_.clear();
     recently_used_elsewhere_.clear();
     peers_.send(to, message);
--- a/modules/gateway/order_desk.cpp
+++ b/modules/gateway/order_desk.cpp
@@ -1,5 +1,7 @@
 #include "lovageledge/gateway/order_desk.hpp"
 
+#include "weights_message.hpp"
+
 #include <algorithm>
 #include <spdlog/fmt/fmt.h>
 #include <spdlog/spdlog.h>
@@ -32,18 +34,6 @@
 const std::string gateway_prefix = "gateway.";
 const std::string domain_prefix = "orders.";
 
-protocol::WeightsRef to_message(const adapter_ref& ref, std::uint64_t version) {
-    protocol::WeightsRef message;
-    message.set_model(ref.model);
-    message.set_adapter(ref.adapter);
-    message.set_version(version);
-    return message;
-}
-
-adapter_ref to_ref(const protocol::WeightsRef& message) {
-    return {message.model(), message.adapter()};
-}
-
 const char* outcome_name(order_outcome outcome) {
     switch (outcome) {
     case order_outcome::accepted:
