--- a/modules/base/include/lovageledge/base/runtime_clock.hpp
+++ b/modules/base/include/lovageledge/base/runtime_clock.hpp
@@ -24,6 +24,10 @@
     /** @returns the current time of this clock, which never goes backwards */
     time_point now() const;
 
+    /** @returns the current time, including the time for which the machine was suspended. Only comparable to
+        other results of this method; equal to now() while the clock is paused. */
+    time_point now_with_suspension() const;
+
     /** Stops the clock at its current time. @see advance */
     void pause();
 
--- a/modules/service/include/lovageledge/service/settings_reader.hpp
+++ b/modules/service/include/lovageledge/service/settings_reader.hpp
@@ -42,6 +42,8 @@
     }
     /** Reads a whole number of milliseconds, from 1 ms to 24 h. */
     void time_ms(const std::string& section, const std::string& key, duration& target);
+    /** Reads true or false. */
+    void flag(const std::string& section, const std::string& key, bool& target);
     /** Reads a whole percentage, from 1 to 100, as a fraction. */
     void share(const std::string& section, const std::string& key, double& target);
     /** Reads the [peers] section: the names of instances and their addresses. */
--- a/modules/service/settings_reader.cpp
+++ b/modules/service/settings_reader.cpp
@@ -68,6 +68,18 @@
     target = percent / 100.0;
 }
 
+void settings_reader::flag(const std::string& section, const std::string& key, bool& target) {
+    const auto value = find(section, key);
+    if (!value) {
+        return;
+    }
+    if (*value != "true" && *value != "false") {
+        add_error(section, key, "true or false");
+        return;
+    }
+    target = *value == "true";
+}
+
 void settings_reader::peers(std::map<instance_name, std::string>& target) {
     const auto section = tree_.get_child_optional("peers");
     if (!section) {
