The succession of order holders becomes a class of its own, with a lease that ends by itself

Change: order_succession decides on claims, releases and heartbeats, and says when orders may be sent: only while all other gateways of the data centre, or a read of the record, have confirmed the holder within 1 s, counted from the request; a new holder waits until the former one's confirmations have expired, and order_lease longer, unless the former one has released the domain. Not used yet.

--- a/modules/serving/include/lovageledge/serving/serving.hpp
+++ b/modules/serving/include/lovageledge/serving/serving.hpp
@@ -8,6 +8,7 @@
 #include "lovageledge/serving/backend_directory.hpp"
 #include "lovageledge/serving/demand_meter.hpp"
 #include "lovageledge/serving/event_framer.hpp"
+#include "lovageledge/serving/order_succession.hpp"
 #include "lovageledge/serving/reported_work.hpp"
 #include "lovageledge/serving/retry_budget.hpp"
 #include "lovageledge/serving/server_selector.hpp"
--- /dev/null
+++ b/modules/serving/order_succession_test.cpp
@@ -0,0 +1,598 @@
+#include "lovageledge/serving/serving.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <functional>
+#include <random>
+
+namespace lovageledge {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::string key = "north-1";
+
+/** One instance of the data centre with the registration of its peers. */
+order_succession make_instance(const std::string& name, const std::vector<std::string>& peers,
+                               succession_settings settings = {}, const std::string& run = "1") {
+    order_succession instance{instance_name{name}, start_id{run}, key, settings};
+    for (const std::string& peer : peers) {
+        if (peer != name) {
+            instance.on_peer_listed(instance_name{peer});
+        }
+    }
+    return instance;
+}
+
+/** The record of a domain with conditional writes. */
+struct simulated_record {
+    order_domain_record record;
+    std::uint64_t revision = 0;
+
+    bool write(const order_succession::record_write& write) {
+        if (write.expected_revision.value_or(0) != revision) {
+            return false;
+        }
+        record = write.record;
+        ++revision;
+        return true;
+    }
+};
+
+class order_succession_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(order_succession_test);
+    CPPUNIT_TEST(first_holder_orders_at_once);
+    CPPUNIT_TEST(frozen_holder_does_not_order_beside_its_successor);
+    CPPUNIT_TEST(holder_that_was_replaced_by_a_late_write_stops_before_its_successor_orders);
+    CPPUNIT_TEST(holder_with_delayed_messages_does_not_order_beside_its_successor);
+    CPPUNIT_TEST(peers_confirm_the_holder_during_an_outage_of_the_store);
+    CPPUNIT_TEST(one_silent_peer_withholds_the_confirmation);
+    CPPUNIT_TEST(holder_without_confirmation_is_replaced);
+    CPPUNIT_TEST(released_domain_passes_on_without_delay);
+    CPPUNIT_TEST(released_domain_waits_for_the_lease_if_servers_do_not_check_fences);
+    CPPUNIT_TEST(restarted_holder_continues_at_once);
+    CPPUNIT_TEST(restart_does_not_shorten_the_wait_for_an_earlier_holder);
+    CPPUNIT_TEST(heartbeat_of_a_newer_holder_stops_the_former_one);
+    CPPUNIT_TEST(rejected_fence_stops_the_holder);
+    CPPUNIT_TEST(fence_does_not_fall_when_the_record_is_removed);
+    CPPUNIT_TEST(stalled_instance_does_not_replace_the_holder);
+    CPPUNIT_TEST(instance_that_has_ended_does_not_order);
+    CPPUNIT_TEST(orders_of_two_holders_never_alternate_under_random_faults);
+    CPPUNIT_TEST_SUITE_END();
+
+    const time_point start_{seconds{100}};
+    const succession_settings settings_;
+    simulated_record stored_;
+
+    /** Makes an instance the holder by a write that is answered at once. */
+    void claim(order_succession& instance, time_point now) {
+        const auto write = instance.next_claim(now);
+        CPPUNIT_ASSERT(write);
+        CPPUNIT_ASSERT(stored_.write(*write));
+        instance.on_record_confirmed(stored_.record, stored_.revision, now, now);
+    }
+
+    void read(order_succession& instance, time_point now) const {
+        instance.on_record_confirmed(stored_.record, stored_.revision, now, now);
+    }
+
+    /** Sends a heartbeat, which is confirmed if the peer regards the sender as the holder. */
+    static bool send_heartbeat(order_succession& holder, const std::string& name, order_succession& peer,
+                               const std::string& peer_name, time_point now) {
+        const std::uint64_t fence = holder.record().fence;
+        const bool is_confirmed = peer.on_heartbeat(instance_name{name}, holder.record().start, fence,
+                                                    holder.is_entitled(now), now);
+        if (is_confirmed) {
+            holder.on_heartbeat_confirmed(instance_name{peer_name}, fence, now);
+        }
+        return is_confirmed;
+    }
+
+    /** Two instances, of which "a" is the holder and "b" knows that. */
+    std::pair<order_succession, order_succession> make_pair_with_holder(succession_settings settings = {}) {
+        std::pair<order_succession, order_succession> both{make_instance("a", {"b"}, settings),
+                                                           make_instance("b", {"a"}, settings)};
+        both.first.start(start_);
+        both.second.start(start_);
+        // The first holder may have to wait for its rank among the candidates.
+        both.first.next_claim(start_);
+        claim(both.first, start_ + seconds{1});
+        both.second.on_record(stored_.record, stored_.revision, start_ + seconds{1});
+        return both;
+    }
+
+    /** Ticks an instance until it claims the domain. @returns when it does */
+    time_point tick_until_claim(order_succession& instance, time_point from) {
+        for (time_point now = from; now < from + seconds{10}; now += milliseconds{150}) {
+            instance.tick(now);
+            if (instance.next_claim(now)) {
+                claim(instance, now);
+                return now;
+            }
+        }
+        CPPUNIT_FAIL("the instance does not claim the domain");
+        return from;
+    }
+
+    void first_holder_orders_at_once() {
+        auto [a, b] = make_pair_with_holder();
+        CPPUNIT_ASSERT(a.may_order(start_ + seconds{1}));
+        CPPUNIT_ASSERT(!b.may_order(start_ + seconds{1}));
+    }
+
+    void frozen_holder_does_not_order_beside_its_successor() {
+        auto [a, b] = make_pair_with_holder();
+        const time_point frozen = start_ + seconds{10};
+        for (time_point now = start_ + seconds{1}; now <= frozen; now += milliseconds{150}) {
+            b.tick(now);
+            send_heartbeat(a, "a", b, "b", now);
+        }
+        CPPUNIT_ASSERT(a.may_order(frozen));
+        const time_point claimed = tick_until_claim(b, frozen);
+        const time_point thawed = claimed + milliseconds{100};
+        CPPUNIT_ASSERT(!a.may_order(thawed)); // It has not heard of its successor yet.
+        a.tick(thawed);
+        send_heartbeat(a, "a", b, "b", thawed);
+        CPPUNIT_ASSERT(!a.may_order(thawed));
+        CPPUNIT_ASSERT(!b.may_order(claimed + settings_.order_lease));
+        read(b, claimed + seconds{5});
+        CPPUNIT_ASSERT(b.may_order(claimed + seconds{5}));
+    }
+
+    void holder_that_was_replaced_by_a_late_write_stops_before_its_successor_orders() {
+        auto [a, b] = make_pair_with_holder();
+        const auto late = [&b = b](time_point from) {
+            for (time_point now = from;; now += milliseconds{150}) {
+                b.tick(now);
+                if (const auto write = b.next_claim(now)) {
+                    return *write;
+                }
+            }
+        }(start_ + seconds{3});
+        // The write gets no response, and the holder is in contact again.
+        const time_point resumed = start_ + seconds{8};
+        b.on_store_failed(resumed);
+        for (time_point now = resumed; now < resumed + seconds{4}; now += milliseconds{150}) {
+            b.tick(now);
+            CPPUNIT_ASSERT(send_heartbeat(a, "a", b, "b", now));
+            CPPUNIT_ASSERT(a.may_order(now));
+        }
+        const time_point applied = resumed + seconds{4};
+        CPPUNIT_ASSERT(stored_.write(late));
+        const time_point learned = applied + milliseconds{700};
+        b.on_record(stored_.record, stored_.revision, learned);
+        CPPUNIT_ASSERT(!send_heartbeat(a, "a", b, "b", learned));
+        CPPUNIT_ASSERT(!a.may_order(learned + settings_.confirmation_lifetime));
+        read(b, learned + settings_.order_lease);
+        CPPUNIT_ASSERT(!b.may_order(learned + settings_.order_lease));
+        const time_point last = learned + settings_.confirmation_lifetime + settings_.order_lease;
+        read(b, last);
+        CPPUNIT_ASSERT(b.may_order(last));
+    }
+
+    void holder_with_delayed_messages_does_not_order_beside_its_successor() {
+        auto [a, b] = make_pair_with_holder();
+        const time_point sent = start_ + seconds{2};
+        const time_point claimed = tick_until_claim(b, sent);
+        // A confirmation from before the claim arrives late.
+        a.on_heartbeat_confirmed(instance_name{"b"}, a.record().fence, sent);
+        CPPUNIT_ASSERT(!a.may_order(claimed + milliseconds{1}));
+    }
+
+    void peers_confirm_the_holder_during_an_outage_of_the_store() {
+        auto [a, b] = make_pair_with_holder();
+        for (time_point now = start_ + seconds{1}; now < start_ + seconds{20}; now += milliseconds{150}) {
+            a.on_store_failed(now);
+            CPPUNIT_ASSERT(send_heartbeat(a, "a", b, "b", now));
+            CPPUNIT_ASSERT(a.may_order(now));
+        }
+    }
+
+    void one_silent_peer_withholds_the_confirmation() {
+        auto [a, b] = make_pair_with_holder();
+        a.on_peer_listed(instance_name{"c"});
+        const time_point now = start_ + seconds{4};
+        send_heartbeat(a, "a", b, "b", now);
+        CPPUNIT_ASSERT(!a.may_order(now));
+        CPPUNIT_ASSERT(a.should_read_record(now));
+        read(a, now);
+        CPPUNIT_ASSERT(a.may_order(now));
+        CPPUNIT_ASSERT(!a.may_order(now + settings_.confirmation_lifetime));
+        a.on_heartbeat_confirmed(instance_name{"c"}, a.record().fence, now);
+        a.on_peer_unlisted(instance_name{"c"});
+        send_heartbeat(a, "a", b, "b", now + seconds{2});
+        CPPUNIT_ASSERT(a.may_order(now + seconds{2}));
+    }
+
+    void holder_without_confirmation_is_replaced() {
+        auto [a, b] = make_pair_with_holder();
+        a.on_peer_listed(instance_name{"c"});
+        const time_point from = start_ + seconds{5};
+        for (time_point now = from; now < from + seconds{10}; now += milliseconds{150}) {
+            b.tick(now);
+            CPPUNIT_ASSERT(!a.is_entitled(now));
+            send_heartbeat(a, "a", b, "b", now);
+            if (b.next_claim(now)) {
+                return;
+            }
+        }
+        CPPUNIT_FAIL("a holder that can't send orders keeps the domain");
+    }
+
+    void released_domain_passes_on_without_delay() {
+        auto [a, b] = make_pair_with_holder();
+        const time_point now = start_ + seconds{5};
+        a.end();
+        CPPUNIT_ASSERT(!a.may_order(now));
+        CPPUNIT_ASSERT(stored_.write(*a.release(now)));
+        b.on_record(stored_.record, stored_.revision, now);
+        const time_point claimed = tick_until_claim(b, now);
+        CPPUNIT_ASSERT(claimed <= now + milliseconds{300});
+        CPPUNIT_ASSERT(b.may_order(claimed));
+    }
+
+    void released_domain_waits_for_the_lease_if_servers_do_not_check_fences() {
+        succession_settings settings;
+        settings.servers_check_fences = false;
+        auto [a, b] = make_pair_with_holder(settings);
+        const time_point now = start_ + seconds{5};
+        a.end();
+        stored_.write(*a.release(now));
+        b.on_record(stored_.record, stored_.revision, now);
+        const time_point claimed = tick_until_claim(b, now);
+        CPPUNIT_ASSERT(!b.may_order(claimed));
+        read(b, claimed + settings_.order_lease);
+        CPPUNIT_ASSERT(b.may_order(claimed + settings_.order_lease));
+    }
+
+    void restarted_holder_continues_at_once() {
+        make_pair_with_holder();
+        order_succession restarted = make_instance("a", {"b"}, {}, "2");
+        const time_point now = start_ + seconds{5};
+        restarted.start(now);
+        read(restarted, now);
+        CPPUNIT_ASSERT(!restarted.may_order(now));
+        claim(restarted, now);
+        CPPUNIT_ASSERT(restarted.may_order(now));
+    }
+
+    void restart_does_not_shorten_the_wait_for_an_earlier_holder() {
+        auto [a, b] = make_pair_with_holder();
+        const time_point claimed = tick_until_claim(b, start_ + seconds{3});
+        order_succession restarted = make_instance("b", {"a"}, {}, "2");
+        const time_point now = claimed + milliseconds{200};
+        restarted.start(now);
+        read(restarted, now);
+        claim(restarted, now);
+        CPPUNIT_ASSERT(!restarted.may_order(now));
+        CPPUNIT_ASSERT(!restarted.has_predecessor_stopped(now));
+    }
+
+    void heartbeat_of_a_newer_holder_stops_the_former_one() {
+        auto [a, b] = make_pair_with_holder();
+        const time_point now = start_ + milliseconds{1100};
+        CPPUNIT_ASSERT(a.may_order(now));
+        CPPUNIT_ASSERT(!a.on_heartbeat(instance_name{"c"}, start_id{"1"}, a.record().fence + 1, true, now));
+        CPPUNIT_ASSERT(!a.may_order(now));
+        CPPUNIT_ASSERT(a.should_read_record(now));
+    }
+
+    void rejected_fence_stops_the_holder() {
+        auto [a, b] = make_pair_with_holder();
+        const time_point now = start_ + milliseconds{1100};
+        a.on_order_fenced(a.record().fence, now);
+        CPPUNIT_ASSERT(!a.may_order(now));
+        // The store still names it, so the record of the other holder was lost.
+        const time_point later = now + settings_.holder_timeout;
+        read(a, later);
+        a.next_claim(later);
+        CPPUNIT_ASSERT(!a.may_order(later));
+        const auto write = a.next_claim(later + seconds{1});
+        CPPUNIT_ASSERT(write);
+        CPPUNIT_ASSERT(write->record.fence > a.record().fence + 1);
+        CPPUNIT_ASSERT(!write->record.has_predecessor_stopped);
+    }
+
+    void fence_does_not_fall_when_the_record_is_removed() {
+        auto [a, b] = make_pair_with_holder();
+        const std::uint64_t fence = a.record().fence;
+        stored_ = {};
+        b.on_record_removed();
+        const time_point claimed = tick_until_claim(b, start_ + seconds{5});
+        CPPUNIT_ASSERT(b.record().fence > fence);
+        CPPUNIT_ASSERT(!b.may_order(claimed));
+    }
+
+    void stalled_instance_does_not_replace_the_holder() {
+        auto [a, b] = make_pair_with_holder();
+        b.tick(start_ + seconds{2});
+        const time_point resumed = start_ + seconds{20};
+        b.tick(resumed);
+        CPPUNIT_ASSERT(!b.next_claim(resumed));
+        CPPUNIT_ASSERT(!b.next_claim(resumed + milliseconds{500}));
+    }
+
+    void instance_that_has_ended_does_not_order() {
+        auto [a, b] = make_pair_with_holder();
+        a.end();
+        CPPUNIT_ASSERT(!a.holds_domain());
+        CPPUNIT_ASSERT(!a.may_order(start_ + seconds{1}));
+        CPPUNIT_ASSERT(!a.next_claim(start_ + seconds{60}));
+    }
+
+    void orders_of_two_holders_never_alternate_under_random_faults();
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(order_succession_test);
+
+/** A data centre under random faults: instances freeze, restart and stop, messages and store calls are late
+    or lost, and writes take effect late. Records when each instance sends orders. */
+class faulty_data_centre {
+public:
+    faulty_data_centre(unsigned seed, bool servers_check_fences) : random_{seed} {
+        settings_.servers_check_fences = servers_check_fences;
+        for (const std::string& name : names_) {
+            nodes_.push_back({name, 0, make_node(name, 0), {}, false});
+        }
+    }
+
+    /** @returns a description of the first violation; empty if there is none */
+    std::string run() {
+        while (now_ < start_ + seconds{60}) {
+            step();
+            if (!violation_.empty()) {
+                return violation_;
+            }
+        }
+        calm_ = true;
+        last_order_.reset();
+        while (now_ < start_ + seconds{75}) {
+            step();
+        }
+        return last_order_ ? violation_ : "no instance sends orders after the last fault";
+    }
+
+private:
+    struct node {
+        std::string name;
+        unsigned run;
+        order_succession succession;
+        time_point frozen_until;
+        bool is_calling_store;
+        time_point stops_at = time_point::max();
+    };
+    struct pending {
+        time_point at;
+        std::function<void()> action;
+    };
+
+    order_succession make_node(const std::string& name, unsigned run) const {
+        return make_instance(name, names_, settings_, std::to_string(run));
+    }
+
+    double draw() { return std::uniform_real_distribution<double>{0, 1}(random_); }
+
+    /** Delay of a message or a store call; short without faults. */
+    duration delay() {
+        const bool is_late = !calm_ && draw() < 0.05;
+        return milliseconds{is_late ? static_cast<int>(draw() * 6000) : 1 + static_cast<int>(draw() * 20)};
+    }
+
+    bool is_lost() { return !calm_ && draw() < fault_rate_; }
+
+    void later(duration after, std::function<void()> action) {
+        pending_.push_back({now_ + after, std::move(action)});
+    }
+
+    /** Runs an action in an instance when it is not frozen, unless it has been restarted since. */
+    void deliver(std::size_t to, duration after, std::function<void(node&)> action) {
+        later(after, [this, to, run = nodes_[to].run, action = std::move(action)]() mutable {
+            node& target = nodes_[to];
+            if (target.run != run) {
+                return;
+            }
+            if (target.frozen_until > now_) {
+                deliver(to, target.frozen_until - now_, std::move(action));
+                return;
+            }
+            action(target);
+        });
+    }
+
+    void step() {
+        now_ += milliseconds{10};
+        for (std::size_t i = 0; i < pending_.size();) {
+            if (pending_[i].at > now_) {
+                ++i;
+                continue;
+            }
+            const auto action = std::move(pending_[i].action);
+            pending_.erase(pending_.begin() + static_cast<std::ptrdiff_t>(i));
+            action();
+        }
+        if ((now_ - start_) % seconds{3} == duration::zero()) {
+            fault_rate_ = draw() < 0.5 ? 0.0 : draw();
+        }
+        for (std::size_t i = 0; i < nodes_.size(); ++i) {
+            inject_faults(nodes_[i]);
+            if (nodes_[i].frozen_until <= now_) {
+                run_node(i);
+            }
+        }
+    }
+
+    void inject_faults(node& target) {
+        if (calm_) {
+            return;
+        }
+        if (draw() < 0.0008) {
+            target.frozen_until = now_ + milliseconds{static_cast<int>(draw() * 6000)};
+        }
+        if (draw() < 0.0004) {
+            restart(target);
+        }
+        if (draw() < 0.0004 && target.stops_at == time_point::max()) {
+            target.succession.begin_stop();
+            target.stops_at = now_ + milliseconds{static_cast<int>(draw() * 3000)};
+        }
+    }
+
+    void restart(node& target) {
+        ++target.run;
+        target = {target.name, target.run, make_node(target.name, target.run), {}, false};
+    }
+
+    void run_node(std::size_t index) {
+        node& self = nodes_[index];
+        order_succession& succession = self.succession;
+        if (now_ >= self.stops_at) {
+            succession.end();
+            if (const auto write = succession.release(now_)) {
+                write_record(index, *write);
+            }
+            restart(self);
+            return;
+        }
+        const bool is_due = (now_ - start_) % milliseconds{150} == duration::zero();
+        if (is_due) {
+            succession.tick(now_);
+            if (!self.is_calling_store && !succession.holds_domain() && draw() < 0.2) {
+                read_record(index, true);
+            }
+            if (succession.holds_domain()) {
+                send_heartbeats(index);
+            }
+            if (const auto claim = self.is_calling_store ? std::nullopt : succession.next_claim(now_)) {
+                write_record(index, *claim);
+            }
+        }
+        if (!self.is_calling_store && succession.should_read_record(now_)) {
+            read_record(index, false);
+        }
+        if (succession.may_order(now_)) {
+            on_order(self);
+        }
+    }
+
+    void on_order(const node& self) {
+        const std::uint64_t fence = self.succession.record().fence;
+        const bool is_other = last_order_ && last_orderer_ != self.name;
+        const bool needs_gap =
+            !settings_.servers_check_fences || !self.succession.record().has_predecessor_stopped;
+        if (last_order_ && fence < last_fence_) {
+            violation_ = self.name + " orders with a lower fence than " + last_orderer_;
+        } else if (is_other && fence == last_fence_) {
+            violation_ = self.name + " orders with the fence of " + last_orderer_;
+        } else if (is_other && needs_gap && now_ - *last_order_ < settings_.order_lease) {
+            violation_ = self.name + " orders within the lease of " + last_orderer_;
+        }
+        last_order_ = now_;
+        last_orderer_ = self.name;
+        last_fence_ = fence;
+    }
+
+    void send_heartbeats(std::size_t from) {
+        const node& self = nodes_[from];
+        const order_domain_record record = self.succession.record();
+        const bool is_entitled = self.succession.is_entitled(now_);
+        for (std::size_t to = 0; to < nodes_.size(); ++to) {
+            if (to == from || is_lost()) {
+                continue;
+            }
+            deliver(to, delay(), [this, from, to, record, is_entitled, sent = now_](node& peer) {
+                const bool is_confirmed = peer.succession.on_heartbeat(
+                    instance_name{nodes_[from].name}, record.start, record.fence, is_entitled, now_);
+                if (is_confirmed && !is_lost()) {
+                    deliver(from, delay(), [this, to, record, sent](node& holder) {
+                        holder.succession.on_heartbeat_confirmed(instance_name{nodes_[to].name}, record.fence,
+                                                                 sent);
+                    });
+                }
+            });
+        }
+    }
+
+    void read_record(std::size_t index, bool is_watch) {
+        nodes_[index].is_calling_store = true;
+        const time_point sent = now_;
+        const duration there = delay();
+        if (is_lost()) {
+            fail_call(index);
+            return;
+        }
+        later(there, [this, index, is_watch, sent, run = nodes_[index].run] {
+            if (nodes_[index].run != run) {
+                return;
+            }
+            deliver(index, delay(), [this, is_watch, sent, state = stored_](node& self) {
+                self.is_calling_store = false;
+                if (self.succession.record() == order_domain_record{} && is_watch) {
+                    self.succession.start(now_);
+                }
+                if (state.revision == 0) {
+                    return;
+                }
+                if (is_watch) {
+                    self.succession.on_record(state.record, state.revision, now_);
+                } else {
+                    self.succession.on_record_confirmed(state.record, state.revision, sent, now_);
+                }
+            });
+        });
+    }
+
+    void write_record(std::size_t index, const order_succession::record_write& write) {
+        nodes_[index].is_calling_store = true;
+        const time_point sent = now_;
+        const bool is_unanswered = is_lost();
+        const duration there = is_unanswered ? milliseconds{static_cast<int>(draw() * 12000)} : delay();
+        const auto state = std::make_shared<simulated_record>();
+        if (is_unanswered) {
+            later(there, [this, write] { stored_.write(write); });
+            fail_call(index);
+            return;
+        }
+        later(there, [this, index, write, sent, run = nodes_[index].run] {
+            stored_.write(write);
+            if (nodes_[index].run != run) {
+                return;
+            }
+            deliver(index, delay(), [this, sent, state = stored_](node& self) {
+                self.is_calling_store = false;
+                self.succession.on_record_confirmed(state.record, state.revision, sent, now_);
+            });
+        });
+    }
+
+    void fail_call(std::size_t index) {
+        deliver(index, milliseconds{400}, [this](node& self) {
+            self.is_calling_store = false;
+            self.succession.on_store_failed(now_);
+        });
+    }
+
+    const time_point start_{seconds{100}};
+    const std::vector<std::string> names_{"a", "b", "c", "d"};
+    succession_settings settings_;
+    std::mt19937 random_;
+    std::vector<node> nodes_;
+    std::vector<pending> pending_;
+    simulated_record stored_;
+    time_point now_ = start_;
+    double fault_rate_ = 0.0;
+    bool calm_ = false;
+    std::optional<time_point> last_order_;
+    std::string last_orderer_;
+    std::uint64_t last_fence_ = 0;
+    std::string violation_;
+};
+
+void order_succession_test::orders_of_two_holders_never_alternate_under_random_faults() {
+    for (unsigned seed = 1; seed <= 150; ++seed) {
+        const std::string violation = faulty_data_centre{seed, seed % 2 == 0}.run();
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), std::string{}, violation);
+    }
+}
+
+} // namespace
+} // namespace lovageledge
