The revision that a claim requires has a name of its own

Change: required_revision instead of expected_revision, in the class and its test. Conclusion: no change of behaviour.

--- a/modules/serving/include/lovageledge/serving/order_succession.hpp
+++ b/modules/serving/include/lovageledge/serving/order_succession.hpp
@@ -66,7 +66,7 @@
     struct record_write {
         order_domain_record record;
         /** Revision that the record must have; std::nullopt to create it. */
-        std::optional<std::uint64_t> expected_revision;
+        std::optional<std::uint64_t> required_revision;
     };
 
     /** @param key identifies the data centre in the order of the candidates */
--- a/modules/serving/order_succession.cpp
+++ b/modules/serving/order_succession.cpp
@@ -152,7 +152,7 @@
     write.record.has_predecessor_stopped =
         is_first || ((record_.holder.is_empty() || is_former_run) && record_.has_predecessor_stopped);
     if (revision_ != 0) {
-        write.expected_revision = revision_;
+        write.required_revision = revision_;
     }
     return write;
 }
@@ -165,7 +165,7 @@
     write.record.start = start_;
     write.record.fence = highest_fence_ + 1;
     write.record.has_predecessor_stopped = now >= predecessor_stopped_at_;
-    write.expected_revision = revision_;
+    write.required_revision = revision_;
     return write;
 }
 
--- a/modules/serving/order_succession_test.cpp
+++ b/modules/serving/order_succession_test.cpp
@@ -30,7 +30,7 @@
     std::uint64_t revision = 0;
 
     bool write(const order_succession::record_write& write) {
-        if (write.expected_revision.value_or(0) != revision) {
+        if (write.required_revision.value_or(0) != revision) {
             return false;
         }
         record = write.record;
