Soak: late writes, pauses of holders in series, holders without the store

Cause: the faults hit any gateway, so that a holder was rarely the one, and no write of the store took effect late. Changed: three kinds of faults. late_writes carries out conditional writes 1 to 6 s after their caller has given up, if their condition still holds; pause_holder pauses the gateway that gave a zone's last order one to four times; cut_holder cuts it from the store while its peers hear it. Conclusion: the faults reach the succession of holders.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -272,6 +272,13 @@
     def begin_disturbance(self, kind, index):
         return self.observations.history.begin(kind, self.gateway_name(index), time.monotonic())
 
+    def find_holder(self, zone):
+        """Returns the gateway that gave the last order in a zone, or None if it does not run or is being stopped."""
+        names = [order.holder for order in self.observations.history.orders if order.zone == zone]
+        if not names or names[-1] in self.stop_times or self.processes[names[-1]].poll() is not None:
+            return None
+        return int(names[-1].rpartition("-")[2])
+
     def pick_gateway(self):
         """Picks a running gateway that is not being stopped, or None if two or fewer are left."""
         running = [i for i in range(self.gateway_count)
@@ -324,6 +331,16 @@
         process.send_signal(signal.SIGCONT)
         end_pause(time.monotonic())
 
+    async def pause_holder(self):
+        """Pauses the holder of an order domain several times; it may have changed meanwhile."""
+        zone = self.random.choice(sorted(ZONES))
+        for _ in range(self.random.randint(1, 4)):
+            index = self.find_holder(zone)
+            seconds, gap = self.random.uniform(0.5, 4), self.random.uniform(0.1, 1.5)
+            if index is not None:
+                await self.pause_gateway(index, seconds)
+            await asyncio.sleep(gap)
+
     async def hangup(self):
         index = self.pick_gateway()
         if index is not None:
@@ -334,6 +351,12 @@
         if index is not None:
             await self.cut_gateway_from_store(index)
 
+    async def cut_holder(self):
+        """Cuts the link between the store and a holder, whose peers still hear it."""
+        index = self.find_holder(self.random.choice(sorted(ZONES)))
+        if index is not None:
+            await self.cut_gateway_from_store(index)
+
     async def cut_gateway_from_store(self, index):
         relay, seconds = self.relays[self.gateway_name(index)], self.random.uniform(1, 6)
         self.extend_fault_period(seconds)
@@ -364,6 +387,14 @@
         await asyncio.sleep(seconds)
         self.store.fault_mode, self.store.response_delay_s, self.store.unanswered_writes = None, 0.0, 0
 
+    async def late_writes(self):
+        """Lets the store carry out conditional writes late, in half of the cases while holders are paused."""
+        delays, pauses_holder = [self.random.uniform(1, 6) for _ in range(4)], self.random.random() < 0.5
+        self.extend_fault_period(12)
+        self.store.late_write_delay = lambda name, spec: delays.pop() if delays else None
+        await (self.pause_holder() if pauses_holder else asyncio.sleep(6))
+        self.store.late_write_delay = None
+
     def pick_server(self):
         """Picks a server that is not leaving, or None if it is the last of its service."""
         ready = [s for s in self.servers.values() if s.leaving_since is None]
@@ -412,7 +443,7 @@
 
     async def inject_faults(self, seconds):
         kinds = [self.planned_stop, self.kill, self.pause, self.hangup, self.cut_store, self.store_fault, self.crash_server,
-                 self.drain_server, self.server_fault, self.configure]
+                 self.drain_server, self.server_fault, self.configure, self.pause_holder, self.cut_holder, self.late_writes]
         end, tasks = time.monotonic() + seconds, []
         while time.monotonic() < end:
             await asyncio.sleep(self.random.uniform(0.3, 2.5))
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -18,6 +18,8 @@
         self.fault_mode = None       # None, "busy", "silent" or "reset"
         self.response_delay_s = 0.0
         self.unanswered_writes = 0   # This many writes are applied without a response.
+        self.late_write_delay = None # A function of a write's name and spec: the delay in seconds of a write that takes effect late.
+        self.late_writes = set()
         self.calls = 0
 
     async def put(self, kind, name, spec):
@@ -68,6 +70,11 @@
                 if self.fault_mode == "reset":
                     return
                 await asyncio.sleep(self.response_delay_s)
+                if method in ("PUT", "POST") and self.late_write_delay:
+                    delay = self.late_write_delay(body["metadata"]["name"], body["spec"])
+                    if delay is not None:
+                        self._write_late(delay, method, target, body)
+                        await asyncio.sleep(3600)
                 status, answer = (503, {}) if self.fault_mode == "busy" else await self._handle(method, target, body)
                 if method in ("PUT", "POST") and status == 200 and self.unanswered_writes > 0:
                     self.unanswered_writes -= 1
@@ -80,6 +87,15 @@
         finally:
             writer.transport.abort()
 
+    def _write_late(self, delay, method, target, body):
+        """Carries out a write after its caller has given up, if its condition holds then."""
+        async def write():
+            await asyncio.sleep(delay)
+            await self._handle(method, target, body)
+        task = asyncio.create_task(write())
+        self.late_writes.add(task)
+        task.add_done_callback(self.late_writes.discard)
+
     async def _handle(self, method, target, body):
         url = urllib.parse.urlsplit(target)
         parts = url.path.strip("/").split("/")[1:]
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -8,6 +8,7 @@
 from order_history import Order, OrderHistory
 from server import ADAPTER_SLOTS, Server
 from soak import Observations, Soak
+from store import Store
 
 
 class Checks(unittest.TestCase):
@@ -129,6 +130,19 @@
         asyncio.run(order_loads())
         self.assert_orders_broken("g1 gave an order to s1 with fence 3")
 
+    def test_late_write_needs_its_condition(self):
+        async def write_late(changes_record):
+            store = Store()
+            revision = await store.put("records", "orders", {"holder": "g1"})
+            store._write_late(0.01, "PUT", "/objects/records/orders",
+                              {"metadata": {"name": "orders", "revision": revision}, "spec": {"holder": "g2"}})
+            if changes_record:
+                await store.put("records", "orders", {"holder": "g1"})
+            await asyncio.gather(*store.late_writes)
+            return store.objects["records", "orders"]["spec"]["holder"]
+        self.assertEqual("g2", asyncio.run(write_late(False)))
+        self.assertEqual("g1", asyncio.run(write_late(True)))
+
     def make_soak(self):
         soak = Soak(1, 1, 0, pathlib.Path("."), ".")
         soak.observations = self.observations
