A holder sends orders only while its authority is confirmed, and its successor waits for its end

What callers saw: two gateways of one data centre sent orders to the same servers (ONE); a server that was ordered to load more than it holds failed (LIMIT), and the requests on it with it. Cause: the record of an order domain never expires, and a holder checked nothing before an order. One that was frozen, starved, cut off, or replaced by a claim that took effect late went on with its token, while its successor ordered as soon as its claim was answered. A planned release did not wait for the answers to orders that were still under way. Change: order_coordinator asks order_succession before each order, again right before it is written to the connection. Heartbeats say when they were sent and are confirmed by number of token; the record says whether the predecessor has stopped; a refused token stops the holder until the store names it again with a newer one. Events 332 and 333 tell when a gateway may order and how old the confirmation is. order_lease_ms and servers_check_fences come from the platform's bounds. Why it works: the successor stops confirming when it learns of its record, and a read is counted from when it was sent, so that no confirmation of the former holder is younger than that moment; it orders only after confirmations from then have expired. The price is about 5.5 s without orders in a data centre whose holder crashes; to be measured next.

--- a/modules/base/include/lovageledge/base/event_log.hpp
+++ b/modules/base/include/lovageledge/base/event_log.hpp
@@ -48,6 +48,8 @@
     backend_avoided = 323,
     order_domain_taken = 330,
     order_domain_lost = 331,
+    order_authority_gained = 332,
+    order_authority_lost = 333,
     version_announced = 505,
 };
 
--- a/modules/gateway/gateway_settings.cpp
+++ b/modules/gateway/gateway_settings.cpp
@@ -112,6 +112,8 @@
     read_fraction(reader, "bounds", "retry_ratio", settings.retries.ratio);
     read_fraction(reader, "bounds", "retry_extra", settings.retries.extra);
     read_seconds(reader, "retry_window_s", settings.retries.window);
+    reader.time_ms("bounds", "order_lease_ms", settings.succession.order_lease);
+    reader.flag("bounds", "servers_check_fences", settings.succession.servers_check_fences);
     read_policy(reader, settings);
     reader.text("log", "level", settings.log_level);
     reader.number("limits", "connections", settings.connections, 16, 1'000'000);
--- a/modules/gateway/include/lovageledge/gateway/gateway_settings.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway_settings.hpp
@@ -32,6 +32,7 @@
     retry_allowance retries;
     selector_settings selector;
     planner_settings planner;
+    succession_settings succession;
     /** Interval of the heartbeats to the gateways of the same data centre. */
     duration state_interval = std::chrono::milliseconds{150};
     /** Longest wait for an adapter to load before another server is considered. */
--- a/modules/gateway/include/lovageledge/gateway/load_exchange.hpp
+++ b/modules/gateway/include/lovageledge/gateway/load_exchange.hpp
@@ -27,15 +27,24 @@
     /** Records that this gateway sent a request to a server that holds its weights. */
     void record_use(const server_name& server, const adapter_ref& ref);
 
+    /** What peers need to know of the holder to confirm its heartbeat. */
+    struct heartbeat {
+        /** Fencing token of the order domain. */
+        std::uint64_t fence = 0;
+        time_point sent_at{};
+        /** @see order_succession::is_entitled() */
+        bool is_entitled = true;
+    };
+
     /** Broadcasts the heartbeat to this data centre's gateways. Precondition: this gateway is the holder.
-        @param fence fencing token of the order domain
         @param positions revisions up to which this gateway has read the store; empty if it can't read it */
-    void send_data_centre_beat(std::uint64_t fence, const std::vector<store_position>& positions);
+    void send_data_centre_beat(const heartbeat& own, const std::vector<store_position>& positions);
     /** Sends a summary of the work at both data centres' servers to the holder of another one; an unchanged
         summary is only resent once per resend interval. Precondition: this gateway is the holder. */
     void send_data_centre_work(const data_centre_name& data_centre, const instance_name& holder);
-    /** Sends this gateway's own work to the holder. */
-    void send_gateway_state(const instance_name& to, bool is_stopping);
+    /** Confirms the holder's heartbeat, and sends it this gateway's own work. */
+    void confirm_heartbeat(const instance_name& holder, const protocol::DataCentreBeat& beat,
+                           bool is_stopping);
     /** Discards all that peers have reported, as when the holder changes. */
     void clear_peer_state();
 
--- a/modules/gateway/include/lovageledge/gateway/order_coordinator.hpp
+++ b/modules/gateway/include/lovageledge/gateway/order_coordinator.hpp
@@ -16,12 +16,10 @@
 /**
     Coordinates the orders to backend servers to load and unload weights, and the peer messages for that.
 
-    In each data centre a single gateway, the holder of the order domain, sends orders to the servers. The
-    holder is recorded in the platform's store by conditional writes, with a fencing token; the record does
-    not expire. The holder sends heartbeats to the gateways of its data centre several times a second. When
-    they stop, another gateway takes over the order domain, and the servers reject orders with the former
-    token. The holder also relays the changes that it reads from the store to its peers. Must only be used on
-    the gateway's thread.
+    In each data centre a single gateway, the holder of the order domain, sends orders to the servers.
+    order_succession decides which one, and when it may send; this class exchanges the heartbeats and the
+    record in the platform's store for it. The holder also relays the changes that it reads from the store to
+    its peers. Must only be used on the gateway's thread.
 */
 class order_coordinator {
 public:
@@ -63,14 +61,6 @@
     std::size_t instance_count() const { return peers_.all().size() + 1; }
 
 private:
-    struct order_domain {
-        instance_name holder;
-        std::string start;
-        std::uint64_t fence = 0;
-        std::uint64_t revision = 0;
-        /** When the holder was first found to be missing. */
-        std::optional<time_point> missing_since;
-    };
     struct load_waiter {
         adapter_ref ref;
         std::shared_ptr<asio::steady_timer> timer;
@@ -79,21 +69,32 @@
     asio::awaitable<void> register_self();
     asio::awaitable<void> heartbeat_loop();
     asio::awaitable<void> planning_loop();
-    /** Writes the order domain record with the next fencing token. @param holder empty to release it */
-    asio::awaitable<void> write_domain_record(std::string holder);
+    asio::awaitable<void> write_domain_record(order_succession::record_write write);
+    asio::awaitable<void> read_domain_record();
+    asio::awaitable<void> wait_for_unanswered_orders();
     asio::awaitable<void> dispatch_order(weights_order order, std::string address, order_authority authority);
     asio::awaitable<void> read_server_weights(server_name server, std::string address);
     void issue_orders();
-    /** Takes over the order domain if its holder is missing and no better candidate has done so. */
-    void claim_domain_if_vacant();
-    bool holds_domain() const;
-    bool is_holder_alive() const;
-    void apply_domain_record(const std::string& json, std::uint64_t revision);
+    /** Starts the reads and writes of the order domain's record that are due. */
+    void maintain_domain();
+    /** Starts planning when the former holder has stopped, and logs when orders become possible or not. */
+    void update_authority();
+    bool holds_domain() const { return succession_.holds_domain(); }
+    bool may_order() const { return succession_.may_order(succession_time()); }
+    /** @returns the time for order_succession, whose leases also expire while the machine is suspended */
+    time_point succession_time() const { return state_.clock.now_with_suspension(); }
+    /** @param requested_at when the read or write that returned the record was sent; unset if it comes from
+        a watch of the store */
+    void apply_domain_record(const stored_record& record, std::optional<time_point> requested_at);
+    void on_domain_changed(const order_domain_record& former, bool was_holder);
+    std::string domain_record_name() const;
     void publish_weights(const backend& server);
     void wake_waiters(const server_name& server);
 
     void send_heartbeats();
     bool is_from_holder(const protocol::Envelope& message) const;
+    /** @returns true if the heartbeat comes from the holder and must be confirmed */
+    bool on_heartbeat(const protocol::Envelope& message);
     void on_message(const protocol::Envelope& message);
     void on_data_centre_beat(const instance_name& from, const protocol::DataCentreBeat& beat);
     void on_store_update(const protocol::StoreUpdate& update);
@@ -107,18 +108,20 @@
     peer_directory peers_;
     load_exchange exchange_;
     adapter_planner planner_;
-    order_domain domain_;
+    order_succession succession_;
     /** Holders of the other data centres' order domains. */
     std::map<data_centre_name, instance_name> remote_holders_;
     std::map<std::string, std::uint64_t> record_revisions_;
     std::multimap<server_name, load_waiter> waiters_;
     asio::steady_timer plan_timer_;
-    /** Start of the current period in which this process ran without a stall. */
-    time_point observing_since_{};
-    time_point last_tick_{};
     time_point last_remote_summary_{};
-    bool are_records_complete_ = false;
+    std::size_t unanswered_orders_ = 0;
     bool is_writing_domain_ = false;
+    bool is_reading_domain_ = false;
+    /** This gateway is the holder, and no earlier holder can still send orders. */
+    bool is_planning_ = false;
+    /** Whether orders could be sent when this was last logged. */
+    bool had_authority_ = false;
     bool is_stopping_ = false;
     /** No more orders are sent. */
     bool is_stopped_ = false;
--- a/modules/gateway/include/lovageledge/gateway/peer_directory.hpp
+++ b/modules/gateway/include/lovageledge/gateway/peer_directory.hpp
@@ -10,13 +10,9 @@
 
 /** Another gateway, as known from its record in the store and from its messages. */
 struct peer_gateway {
-    /** Start id of the process. */
-    std::string start;
     std::string address;
     data_centre_name data_centre;
-    time_point last_message_at{};
     bool is_connected = false;
-    bool is_stopping = false;
 };
 
 /**
@@ -36,8 +32,6 @@
     /** Adds or updates a peer from its record in the store; this gateway's own record is ignored. */
     void on_registered(const protocol::GatewayRecord& record);
     void on_unregistered(const instance_name& name);
-    /** Records the arrival of a message. @returns its sender, or nullptr if its record was not read yet */
-    peer_gateway* on_message_received(const protocol::Envelope& message, time_point now);
 
     /** @returns a peer, or nullptr if it is unknown */
     const peer_gateway* find(const instance_name& name) const;
--- a/modules/gateway/include/lovageledge/gateway/wire_codec.hpp
+++ b/modules/gateway/include/lovageledge/gateway/wire_codec.hpp
@@ -100,6 +100,9 @@
 struct order_authority {
     instance_name holder;
     std::uint64_t fence = 0;
+    /** @returns true while the sender may send orders with this token. Called right before the order is
+        sent. */
+    std::function<bool()> is_valid = [] { return true; };
 };
 
 /** Interface between a gateway and the reader of the platform's store. Its functions are called on the
@@ -124,7 +127,9 @@
     std::function<asio::awaitable<write_result>(std::string name, std::string json,
                                                 std::optional<std::uint64_t> expected)>
         write_record;
-    /** Sends an order to the server at an address. */
+    /** Reads the current version of a record. @returns std::nullopt if there is none or the read failed */
+    std::function<asio::awaitable<std::optional<stored_record>>(std::string name)> read_record;
+    /** Sends an order to the server at an address, unless the authority is no longer valid by then. */
     std::function<asio::awaitable<order_result>(weights_order order, std::string address,
                                                 order_authority authority)>
         send_order;
--- a/modules/gateway/load_exchange.cpp
+++ b/modules/gateway/load_exchange.cpp
@@ -134,10 +134,14 @@
     }
 }
 
-void load_exchange::send_data_centre_beat(std::uint64_t fence, const std::vector<store_position>& positions) {
+void load_exchange::send_data_centre_beat(const heartbeat& own,
+                                          const std::vector<store_position>& positions) {
     protocol::Envelope message;
     protocol::DataCentreBeat& beat = *message.mutable_data_centre_beat();
-    beat.set_fence(fence);
+    beat.set_data_centre(state_.settings.data_centre.text());
+    beat.set_fence(own.fence);
+    beat.set_sent_at_ns(own.sent_at.time_since_epoch().count());
+    beat.set_unconfirmed(!own.is_entitled);
     append_totals([](const backend&) { return true; }, *beat.mutable_totals());
     for (const store_position& position : positions) {
         protocol::StorePosition& entry = *beat.add_positions();
@@ -172,17 +176,20 @@
     }
 }
 
-void load_exchange::send_gateway_state(const instance_name& to, bool is_stopping) {
+void load_exchange::confirm_heartbeat(const instance_name& holder, const protocol::DataCentreBeat& beat,
+                                      bool is_stopping) {
     protocol::Envelope message;
     protocol::GatewayState& own = *message.mutable_gateway_state();
     own.set_data_centre(state_.settings.data_centre.text());
     own.set_stopping(is_stopping);
+    own.set_confirmed_fence(beat.fence());
+    own.set_heartbeat_sent_at_ns(beat.sent_at_ns());
     append_fingerprints(*own.mutable_fingerprints());
     append_server_work([](const backend&) { return true; }, false, recently_used_, reported_to_holder_,
                        *own.mutable_work());
     recently_used_.clear();
     recently_used_remote_.clear();
-    peers_.send(to, message);
+    peers_.send(holder, message);
 }
 
 void load_exchange::clear_peer_state() {
--- a/modules/gateway/order_coordinator.cpp
+++ b/modules/gateway/order_coordinator.cpp
@@ -13,19 +13,15 @@
 
 /** Interval of messages to other data centres, whose links are billed. */
 constexpr auto remote_state_interval = milliseconds{250};
-/** A holder that sends no message for this long is replaced. */
-constexpr auto holder_timeout = milliseconds{1500};
-/** A longer gap between two heartbeat rounds means that this process was stalled, so that missing messages
-    say nothing about its peers. */
-constexpr auto stall_threshold = milliseconds{700};
 /** Planning interval while loads are in progress or requested. */
 constexpr auto busy_plan_interval = milliseconds{15};
 /** Planning interval otherwise. */
 constexpr auto idle_plan_interval = milliseconds{150};
 /** Delay after a failed write of a record. */
 constexpr auto write_retry_delay = milliseconds{700};
-/** Extra delay per rank among the candidates, so that they don't all write the order domain at once. */
-constexpr auto candidate_delay_step = milliseconds{150};
+/** How long a stopping holder waits for the responses to its orders before it releases the domain. */
+constexpr auto order_drain_limit = milliseconds{250};
+constexpr auto order_drain_interval = milliseconds{10};
 
 /** A holder relays store updates if its data centre has at least this many other gateways. */
 constexpr std::size_t min_peers_to_relay = 3;
@@ -66,14 +62,15 @@
                 [this](const server_name& server, const adapter_ref& ref) {
                     planner_.on_used(server, ref, state_.now());
                 }},
-      planner_{state.settings.planner}, plan_timer_{context} {
+      planner_{state.settings.planner}, succession_{state.settings.name, state.settings.start,
+                                                    state.settings.data_centre.text(),
+                                                    state.settings.succession},
+      plan_timer_{context} {
     planner_.set_usage_function(
         [](const backend& server, const adapter_ref& ref) { return server.is_in_use(ref); });
 }
 
 bool order_coordinator::start(error& failure) {
-    observing_since_ = state_.now();
-    last_tick_ = observing_since_;
     if (!peers_.listen(failure)) {
         return false;
     }
@@ -84,6 +81,7 @@
 
 void order_coordinator::begin_stop() {
     is_stopping_ = true;
+    succession_.begin_stop();
     protocol::Envelope message;
     message.mutable_gateway_state()->set_data_centre(state_.settings.data_centre.text());
     message.mutable_gateway_state()->set_stopping(true);
@@ -92,21 +90,31 @@
 
 asio::awaitable<void> order_coordinator::finish_stop() {
     is_stopped_ = true;
-    if (holds_domain()) {
-        co_await write_domain_record("");
+    succession_.end();
+    co_await wait_for_unanswered_orders();
+    const auto release = succession_.release(succession_time());
+    // After a release the next holder does not wait, so no order of this one may still be on its way.
+    if (release && unanswered_orders_ == 0) {
+        co_await write_domain_record(*release);
     }
 }
 
-bool order_coordinator::holds_domain() const {
-    return domain_.holder == state_.settings.name && domain_.start == state_.settings.start.text();
+asio::awaitable<void> order_coordinator::wait_for_unanswered_orders() {
+    asio::steady_timer timer{context_};
+    const time_point limit = state_.now() + order_drain_limit;
+    while (unanswered_orders_ > 0 && state_.now() < limit) {
+        timer.expires_after(order_drain_interval);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
 }
 
 // Records in the platform's store
 
 void order_coordinator::on_records_complete() {
-    are_records_complete_ = true;
+    succession_.start(succession_time());
     asio::co_spawn(context_, register_self(), asio::detached);
-    claim_domain_if_vacant();
+    maintain_domain();
 }
 
 asio::awaitable<void> order_coordinator::register_self() {
@@ -139,13 +147,18 @@
 void order_coordinator::on_record(const stored_record& record) {
     record_revisions_[record.name] = record.revision;
     if (record.name.rfind(domain_prefix, 0) == 0) {
-        apply_domain_record(record.json, record.revision);
+        apply_domain_record(record, std::nullopt);
         return;
     }
     protocol::GatewayRecord gateway;
     const bool is_gateway = record.name.rfind(gateway_prefix, 0) == 0 && from_json(record.json, gateway);
     if (is_gateway) {
         peers_.on_registered(gateway);
+        const bool is_local_peer = data_centre_name{gateway.data_centre()} == state_.settings.data_centre &&
+                                   instance_name{gateway.instance()} != state_.settings.name;
+        if (is_local_peer) {
+            succession_.on_peer_listed(instance_name{gateway.instance()});
+        }
         state_.retries.set_instances(instance_count());
     }
 }
@@ -153,114 +166,133 @@
 void order_coordinator::on_record_removed(const std::string& name) {
     record_revisions_.erase(name);
     if (name.rfind(gateway_prefix, 0) == 0) {
-        peers_.on_unregistered(instance_name{name.substr(gateway_prefix.size())});
+        const instance_name peer{name.substr(gateway_prefix.size())};
+        peers_.on_unregistered(peer);
+        succession_.on_peer_unlisted(peer);
         state_.retries.set_instances(instance_count());
     }
-    if (name == domain_prefix + state_.settings.data_centre.text()) {
-        domain_ = {};
+    if (name == domain_record_name()) {
+        const order_domain_record former = succession_.record();
+        const bool was_holder = holds_domain();
+        succession_.on_record_removed();
+        on_domain_changed(former, was_holder);
     }
 }
 
-void order_coordinator::apply_domain_record(const std::string& json, std::uint64_t revision) {
-    protocol::OrderDomainRecord record;
-    if (!from_json(json, record)) {
-        spdlog::warn("order domain record of revision {} is malformed", revision);
+std::string order_coordinator::domain_record_name() const {
+    return domain_prefix + state_.settings.data_centre.text();
+}
+
+void order_coordinator::apply_domain_record(const stored_record& stored,
+                                            std::optional<time_point> requested_at) {
+    protocol::OrderDomainRecord message;
+    if (!from_json(stored.json, message)) {
+        spdlog::warn("order domain record of revision {} is malformed", stored.revision);
         return;
     }
-    const data_centre_name data_centre{record.data_centre()};
+    const data_centre_name data_centre{message.data_centre()};
     if (data_centre != state_.settings.data_centre) {
-        remote_holders_[data_centre] = instance_name{record.holder()};
+        remote_holders_[data_centre] = instance_name{message.holder()};
         return;
     }
-    if (revision < domain_.revision) {
+    const order_domain_record record{instance_name{message.holder()}, start_id{message.start()},
+                                     message.fence(), message.predecessor_stopped()};
+    const order_domain_record former = succession_.record();
+    const bool was_holder = holds_domain();
+    if (requested_at) {
+        succession_.on_record_confirmed(record, stored.revision, *requested_at, succession_time());
+    } else {
+        succession_.on_record(record, stored.revision, succession_time());
+    }
+    on_domain_changed(former, was_holder);
+}
+
+void order_coordinator::on_domain_changed(const order_domain_record& former, bool was_holder) {
+    const order_domain_record& record = succession_.record();
+    if (record == former) {
         return;
     }
-    const bool was_holder = holds_domain();
-    if (domain_.holder != instance_name{record.holder()} || domain_.start != record.start()) {
+    if (record.holder != former.holder || record.start != former.start) {
         exchange_.clear_peer_state();
         state_.store.on_holder_changed();
     }
-    domain_ = {instance_name{record.holder()}, record.start(), record.fence(), revision, std::nullopt};
-    if (holds_domain() && !was_holder) {
-        planner_.reset();
+    is_planning_ = false;
+    if (holds_domain()) {
         state_.log.write(event::order_domain_taken,
-                         fmt::format("data_centre={} fence={}", data_centre.text(), domain_.fence));
-        on_servers_changed();
-    } else if (was_holder && !holds_domain()) {
+                         fmt::format("data_centre={} fence={} predecessor_stopped={}",
+                                     state_.settings.data_centre.text(), record.fence,
+                                     record.has_predecessor_stopped));
+    } else if (was_holder) {
         state_.log.write(event::order_domain_lost,
-                         fmt::format("data_centre={} fence={} holder={}", data_centre.text(), domain_.fence,
-                                     domain_.holder.text()));
+                         fmt::format("data_centre={} fence={} holder={}", state_.settings.data_centre.text(),
+                                     record.fence, record.holder.text()));
     }
-    claim_domain_if_vacant();
+    update_authority();
+    maintain_domain();
 }
 
-bool order_coordinator::is_holder_alive() const {
-    if (domain_.holder.is_empty()) {
-        return false;
-    }
-    if (domain_.holder == state_.settings.name) {
-        return holds_domain();
+void order_coordinator::update_authority() {
+    const time_point now = succession_time();
+    if (!is_planning_ && succession_.has_predecessor_stopped(now)) {
+        is_planning_ = true;
+        planner_.reset();
+        on_servers_changed();
     }
-    const peer_gateway* holder = peers_.find(domain_.holder);
-    const bool is_known_start = holder != nullptr && holder->start == domain_.start;
-    if (!is_known_start) {
-        return false;
+    const bool has_authority = succession_.may_order(now);
+    if (has_authority == std::exchange(had_authority_, has_authority)) {
+        return;
     }
-    const time_point last_contact = std::max(holder->last_message_at, observing_since_);
-    return state_.now() - last_contact < holder_timeout;
+    const auto age = succession_.confirmation_age(now);
+    state_.log.write(has_authority ? event::order_authority_gained : event::order_authority_lost,
+                     fmt::format("data_centre={} fence={} holds_domain={} confirmation_age_ms={}",
+                                 state_.settings.data_centre.text(), succession_.record().fence,
+                                 holds_domain(),
+                                 age ? std::chrono::duration_cast<milliseconds>(*age).count() : -1));
 }
 
-void order_coordinator::claim_domain_if_vacant() {
-    if (!are_records_complete_ || is_stopped_ || is_writing_domain_ || is_holder_alive()) {
-        domain_.missing_since.reset();
-        return;
-    }
-    const time_point now = state_.now();
-    if (!domain_.missing_since) {
-        domain_.missing_since = now;
-    }
-    std::size_t rank = 0;
-    const std::string key = state_.settings.data_centre.text();
-    const std::uint64_t own_weight = rendezvous_weight(key, state_.settings.name.text());
-    for (const auto& [name, entry] : peers_.all()) {
-        const bool is_candidate = entry.data_centre == state_.settings.data_centre && name != domain_.holder;
-        const bool is_preferred = entry.is_stopping == is_stopping_
-                                      ? rendezvous_weight(key, name.text()) > own_weight
-                                      : is_stopping_;
-        rank += is_candidate && is_preferred ? 1 : 0;
-    }
-    // A holder without a gateway record may just have started.
-    const bool is_unknown = !domain_.holder.is_empty() && domain_.holder != state_.settings.name &&
-                            peers_.find(domain_.holder) == nullptr;
-    const duration claim_delay =
-        candidate_delay_step * rank + (is_unknown ? holder_timeout : milliseconds{0});
-    if (now - *domain_.missing_since >= claim_delay) {
+void order_coordinator::maintain_domain() {
+    const time_point now = succession_time();
+    succession_.tick(now);
+    const auto claim = is_writing_domain_ ? std::nullopt : succession_.next_claim(now);
+    if (claim) {
         is_writing_domain_ = true;
-        asio::co_spawn(context_, write_domain_record(state_.settings.name.text()), asio::detached);
+        asio::co_spawn(context_, write_domain_record(*claim), asio::detached);
+    }
+    if (!is_reading_domain_ && succession_.should_read_record(now)) {
+        is_reading_domain_ = true;
+        asio::co_spawn(context_, read_domain_record(), asio::detached);
     }
 }
 
-asio::awaitable<void> order_coordinator::write_domain_record(std::string holder) {
-    protocol::OrderDomainRecord record;
-    record.set_data_centre(state_.settings.data_centre.text());
-    record.set_holder(holder);
-    record.set_start(state_.settings.start.text());
-    record.set_fence(domain_.fence + 1);
-    std::optional<std::uint64_t> expected;
-    if (domain_.revision != 0) {
-        expected = domain_.revision;
+asio::awaitable<void> order_coordinator::write_domain_record(order_succession::record_write write) {
+    protocol::OrderDomainRecord message;
+    message.set_data_centre(state_.settings.data_centre.text());
+    message.set_holder(write.record.holder.text());
+    message.set_start(write.record.start.text());
+    message.set_fence(write.record.fence);
+    message.set_predecessor_stopped(write.record.has_predecessor_stopped);
+    const time_point requested_at = succession_time();
+    const write_result result = co_await state_.platform.write_record(domain_record_name(), to_json(message),
+                                                                      write.required_revision);
+    if (result.outcome != write_outcome::done) {
+        succession_.on_store_failed(succession_time());
     }
-    const std::string name = domain_prefix + state_.settings.data_centre.text();
-    const write_result result = co_await state_.platform.write_record(name, to_json(record), expected);
+    is_writing_domain_ = false;
     if (result.record) {
-        apply_domain_record(result.record->json, result.record->revision);
+        apply_domain_record(*result.record, requested_at);
     }
-    if (result.outcome != write_outcome::done && !is_stopped_) {
-        asio::steady_timer timer{context_, write_retry_delay};
-        boost::system::error_code ignored;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+asio::awaitable<void> order_coordinator::read_domain_record() {
+    const time_point requested_at = succession_time();
+    const auto record = co_await state_.platform.read_record(domain_record_name());
+    is_reading_domain_ = false;
+    if (record) {
+        apply_domain_record(*record, requested_at);
+    } else {
+        succession_.on_store_failed(succession_time());
     }
-    is_writing_domain_ = false;
+    update_authority();
 }
 
 // Messages between gateways
@@ -269,8 +301,10 @@
     const time_point now = state_.now();
     const bool is_holder = holds_domain() && !is_stopped_;
     if (is_holder) {
+        const time_point sent_at = succession_time();
         exchange_.send_data_centre_beat(
-            domain_.fence, relays_store_updates() ? state_.store.positions() : std::vector<store_position>{});
+            {succession_.record().fence, sent_at, succession_.is_entitled(sent_at)},
+            relays_store_updates() ? state_.store.positions() : std::vector<store_position>{});
     }
     if (is_holder && now - last_remote_summary_ >= remote_state_interval) {
         last_remote_summary_ = now;
@@ -284,14 +318,10 @@
 asio::awaitable<void> order_coordinator::heartbeat_loop() {
     asio::steady_timer timer{context_};
     while (true) {
-        const time_point now = state_.now();
-        if (now - last_tick_ > stall_threshold) {
-            observing_since_ = now; // After a stall, missing messages say nothing about the peers.
-        }
-        last_tick_ = now;
+        maintain_domain();
         send_heartbeats();
-        claim_domain_if_vacant();
-        state_.crash_quarantine.on_tick(now);
+        update_authority();
+        state_.crash_quarantine.on_tick(state_.now());
         timer.expires_after(state_.settings.state_interval);
         boost::system::error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
@@ -299,20 +329,32 @@
 }
 
 bool order_coordinator::is_from_holder(const protocol::Envelope& message) const {
-    return message.from() == domain_.holder.text() && message.from_start() == domain_.start;
+    const order_domain_record& record = succession_.record();
+    return message.from() == record.holder.text() && message.from_start() == record.start.text();
+}
+
+bool order_coordinator::on_heartbeat(const protocol::Envelope& message) {
+    const protocol::DataCentreBeat& beat = message.data_centre_beat();
+    return beat.data_centre() == state_.settings.data_centre.text() &&
+           succession_.on_heartbeat(instance_name{message.from()}, start_id{message.from_start()},
+                                    beat.fence(), !beat.unconfirmed(), succession_time());
 }
 
 void order_coordinator::on_message(const protocol::Envelope& message) {
-    peer_gateway* sender = peers_.on_message_received(message, state_.now());
+    const bool is_holder_heartbeat = message.has_data_centre_beat() && on_heartbeat(message);
+    const instance_name from{message.from()};
+    const peer_gateway* sender = peers_.find(from);
     if (sender == nullptr) {
         return; // The sender's record has not been read yet.
     }
-    const instance_name from{message.from()};
-    if (message.has_data_centre_beat() && is_from_holder(message)) {
+    if (is_holder_heartbeat) {
         on_data_centre_beat(from, message.data_centre_beat());
     } else if (message.has_gateway_state()) {
-        sender->is_stopping = message.gateway_state().stopping();
-        exchange_.on_gateway_state(from, message.gateway_state());
+        const protocol::GatewayState& state = message.gateway_state();
+        succession_.on_peer_stopping(from, state.stopping());
+        succession_.on_heartbeat_confirmed(from, state.confirmed_fence(),
+                                           time_point{duration{state.heartbeat_sent_at_ns()}});
+        exchange_.on_gateway_state(from, state);
     } else if (message.has_data_centre_work()) {
         exchange_.on_data_centre_work(message.data_centre_work());
     } else if (message.has_store_update() && is_from_holder(message)) {
@@ -330,16 +372,13 @@
 }
 
 void order_coordinator::on_data_centre_beat(const instance_name& from, const protocol::DataCentreBeat& beat) {
-    if (beat.fence() != domain_.fence) {
-        return;
-    }
     exchange_.on_data_centre_beat(beat);
     std::vector<store_position> positions;
     for (const protocol::StorePosition& entry : beat.positions()) {
         positions.push_back({entry.kind(), entry.revision()});
     }
     state_.store.on_holder_positions(positions);
-    exchange_.send_gateway_state(from, is_stopping_);
+    exchange_.confirm_heartbeat(from, beat, is_stopping_);
 }
 
 void order_coordinator::on_store_update(const protocol::StoreUpdate& update) {
@@ -430,7 +469,7 @@
         add_weights_request(*server, ref, was_refused);
         return;
     }
-    instance_name holder = domain_.holder;
+    instance_name holder = succession_.record().holder;
     if (!is_managed) {
         holder = remote_holders_[server->listing.zone];
     }
@@ -495,7 +534,7 @@
 }
 
 void order_coordinator::issue_orders() {
-    if (!holds_domain() || is_stopped_ || !state_.routes) {
+    if (!is_planning_ || !holds_domain() || !state_.routes) {
         return;
     }
     const auto is_managed = [this](const backend& server) {
@@ -506,30 +545,34 @@
         asio::co_spawn(context_, read_server_weights(name, state_.directory.find(name)->listing.address),
                        asio::detached);
     }
+    if (!may_order()) {
+        return;
+    }
     auto orders =
         planner_.next_orders(state_.directory, *state_.routes, state_.versions, is_managed, state_.now());
     for (weights_order& order : orders) {
         const backend* server = state_.directory.find(order.server);
         const std::string address = server->listing.address;
-        const order_authority authority{state_.settings.name, domain_.fence};
+        const std::uint64_t fence = succession_.record().fence;
+        const order_authority authority{state_.settings.name, fence, [this, fence] {
+                                            return succession_.record().fence == fence && may_order();
+                                        }};
         asio::co_spawn(context_, dispatch_order(std::move(order), address, authority), asio::detached);
     }
 }
 
 asio::awaitable<void> order_coordinator::dispatch_order(weights_order order, std::string address,
                                                         order_authority authority) {
-    if (!holds_domain() || domain_.fence != authority.fence || is_stopped_) {
-        co_return; // The order domain has a new holder or token since the order was planned.
-    }
+    ++unanswered_orders_;
     const order_result result = co_await state_.platform.send_order(order, address, authority);
+    --unanswered_orders_;
     log_order(order, result, authority);
-    if (domain_.fence != authority.fence) {
-        co_return;
+    if (succession_.record().fence != authority.fence) {
+        co_return; // The order domain has a new holder or token since the order was planned.
     }
-    if (result.outcome == order_outcome::fenced && holds_domain()) {
-        // The server has seen a newer token: this gateway is no longer the holder, even if the store's record
-        // of that has not arrived yet.
-        domain_.start.clear();
+    if (result.outcome == order_outcome::fenced) {
+        succession_.on_order_fenced(authority.fence, succession_time());
+        update_authority();
     }
     const bool has_changed = planner_.on_outcome(state_.directory, order, result.outcome, state_.now());
     const backend* server = state_.directory.find(order.server);
--- a/modules/gateway/peer_directory.cpp
+++ b/modules/gateway/peer_directory.cpp
@@ -20,7 +20,6 @@
     }
     peer_gateway& peer = peers_[name];
     const bool has_new_address = peer.address != record.peer_address();
-    peer.start = record.start();
     peer.address = record.peer_address();
     peer.data_centre = data_centre_name{record.data_centre()};
     peer.is_connected = peer.is_connected && !has_new_address;
@@ -30,16 +29,6 @@
     peers_.erase(name);
 }
 
-peer_gateway* peer_directory::on_message_received(const protocol::Envelope& message, time_point now) {
-    const auto peer = peers_.find(instance_name{message.from()});
-    if (peer == peers_.end()) {
-        return nullptr;
-    }
-    peer->second.last_message_at = now;
-    peer->second.start = message.from_start();
-    return &peer->second;
-}
-
 const peer_gateway* peer_directory::find(const instance_name& name) const {
     const auto peer = peers_.find(name);
     return peer == peers_.end() ? nullptr : &peer->second;
--- a/modules/service/decision_log.cpp
+++ b/modules/service/decision_log.cpp
@@ -85,6 +85,10 @@
         return "order_domain_taken";
     case event::order_domain_lost:
         return "order_domain_lost";
+    case event::order_authority_gained:
+        return "order_authority_gained";
+    case event::order_authority_lost:
+        return "order_authority_lost";
     case event::version_announced:
         return "version_announced";
     }
