The planner counts a server's adapters by the server's own reports and responses

Callers saw: on grown deployments servers were ordered to load more adapters than they have slots, crashed, and cut the responses they were producing. Cause: the planner counted the adapters of the directory's listing, which also takes over refused requests (on_adapter_missing), entries of the platform that are written late, and messages of another gateway that took itself for the holder. All of these removed adapters while the expected sequence still matched, so the server accepted one load too many. A message with a higher sequence raised the expected sequence without the load in progress that it stood for. Evidence: tests without sockets, on the code before this change: refused_adapter_keeps_its_place, late_entry_frees_no_place, message_with_the_known_sequence_frees_no_place, waiting_eviction_keeps_its_place_when_an_entry_omits_it: assertion failed: orders_for_one_more_adapter().empty() message_with_a_higher_sequence_changes_no_expected_sequence: expected 3, actual 4 refused_base_model_is_not_replaced_by_another_one: assertion failed: order.empty() || order[0].weights.model == "other" refused_adapter_is_loaded_again_in_its_place and refused_check_keeps_the_load_in_progress passed before too and keep that behaviour. Change: the plan of a server holds its own order sequence, loaded weights and loads in progress, and one function counts the slots in use. The directory still decides whether an adapter is usable for requests. An adapter that is missing there is ordered again in the slot it has, which the server confirms. Why it works: sequence and weights come from one report and change only with responses to the orders that followed it. While the sequence stays the same, a server's adapters can only become fewer, and a load decided on another sequence is refused.

--- a/modules/serving/adapter_planner.cpp
+++ b/modules/serving/adapter_planner.cpp
@@ -18,6 +18,14 @@
 
 } // namespace
 
+std::size_t adapter_planner::server_plan::used_slots() const {
+    const auto loads_into_a_free_slot =
+        std::count_if(loads_in_progress.begin(), loads_in_progress.end(), [this](const auto& load) {
+            return !load.first.is_base() && !weights.adapters.contains(load.first);
+        });
+    return weights.adapters.size() + static_cast<std::size_t>(loads_into_a_free_slot);
+}
+
 bool adapter_planner::is_busy() const {
     return std::any_of(servers_.begin(), servers_.end(), [](const auto& entry) {
         return !entry.second.loads_in_progress.empty() || !entry.second.load_requests.empty();
@@ -72,7 +80,7 @@
     std::vector<weights_order> orders;
     for (const auto& [name, server] : directory.servers()) {
         server_plan* plan = find_plan(server, routes, is_managed, now);
-        if (plan == nullptr || plan->needs_report || !server.order_sequence) {
+        if (plan == nullptr || plan->needs_report) {
             continue;
         }
         const engine_spec& engine = *routes.find_service(server.listing.service)->engine;
@@ -119,14 +127,14 @@
     return plan_load(plan, server, engine, versions, now);
 }
 
-weights_order adapter_planner::make_order(const backend& server, order_operation operation,
-                                          const adapter_ref& ref) const {
+weights_order adapter_planner::make_order(const server_plan& plan, const backend& server,
+                                          order_operation operation, const adapter_ref& ref) const {
     weights_order order;
     order.server = server.listing.name;
     order.started_at = server.listing.started_at;
     order.operation = operation;
     order.weights = ref;
-    order.expected_sequence = server.order_sequence;
+    order.expected_sequence = plan.order_sequence;
     return order;
 }
 
@@ -138,14 +146,18 @@
     if (is_loading || now < next_model_load_ || engine.models.empty()) {
         return std::nullopt;
     }
-    const model_spec& model = engine.models.front();
-    if (model.weights_mb > engine.weights_mb) {
+    const model_spec& first_model = engine.models.front();
+    if (plan.weights.models.empty() && first_model.weights_mb > engine.weights_mb) {
         return std::nullopt;
     }
+    // A model that the server has loaded may be missing in the directory after a refused request. There is
+    // no room for another one.
+    const std::string& model =
+        plan.weights.models.empty() ? first_model.name : plan.weights.models.begin()->first;
     plan.model_ordered_at = now;
     const double pause_s = engine.loads_per_second > 0.0 ? 1.0 / engine.loads_per_second : 1.0;
     next_model_load_ = now + std::chrono::duration_cast<duration>(std::chrono::duration<double>{pause_s});
-    return make_order(server, order_operation::load, {model.name, ""});
+    return make_order(plan, server, order_operation::load, {model, ""});
 }
 
 std::optional<weights_order> adapter_planner::plan_check(server_plan& plan, const backend& server,
@@ -155,7 +167,7 @@
             continue;
         }
         load.check_at = now + (ref.is_base() ? settings_.model_check_interval : settings_.check_interval);
-        weights_order order = make_order(server, order_operation::load, ref);
+        weights_order order = make_order(plan, server, order_operation::load, ref);
         order.version = load.version;
         order.is_check = true;
         return order;
@@ -167,7 +179,7 @@
                                                         time_point now) const {
     std::optional<adapter_ref> victim;
     time_point oldest{};
-    for (const auto& [ref, version] : server.listing.weights.adapters) {
+    for (const auto& [ref, version] : plan.weights.adapters) {
         if (plan.load_requests.contains(ref) || plan.loads_in_progress.contains(ref) ||
             is_used_(server, ref)) {
             continue;
@@ -192,12 +204,14 @@
     std::optional<adapter_ref> oldest;
     time_point oldest_time{};
     for (const auto& [ref, request] : plan.load_requests) {
-        const auto held = server.listing.weights.version_of(ref);
+        const auto held = plan.weights.version_of(ref);
         const auto required = versions.required(ref, now);
         const bool is_outdated = held && required && *held < *required;
+        // A repeated load of an adapter that the directory lacks, such as after a refused request, makes the
+        // server load it or confirm that it is loaded.
+        const bool is_usable = held && !is_outdated && server.listing.weights.version_of(ref);
         // Replacing a version in use would block all other orders until the requests on the old one end.
-        const bool needs_no_order = ref.is_base() || (held && !is_outdated) ||
-                                    plan.loads_in_progress.contains(ref) ||
+        const bool needs_no_order = ref.is_base() || is_usable || plan.loads_in_progress.contains(ref) ||
                                     (is_outdated && is_used_(server, ref));
         const bool is_model_loaded = server.listing.weights.models.contains(ref.model);
         if (!needs_no_order && is_model_loaded && (!oldest || request.first < oldest_time)) {
@@ -219,32 +233,23 @@
     if (!ref) {
         return std::nullopt;
     }
-    const auto& held = server.listing.weights.adapters;
-    std::size_t used_slots = held.size();
-    for (const auto& [loading_ref, load] : plan.loads_in_progress) {
-        used_slots += held.contains(loading_ref) ? 0 : 1;
-    }
-    if (held.contains(*ref) || used_slots < engine.adapter_slots) {
-        weights_order order = make_order(server, order_operation::load, *ref);
+    if (plan.weights.adapters.contains(*ref) || plan.used_slots() < engine.adapter_slots) {
+        weights_order order = make_order(plan, server, order_operation::load, *ref);
         order.version = versions.newest(*ref);
         return order;
     }
     const auto victim = pick_victim(plan, server, now);
-    return victim ? std::optional{make_order(server, order_operation::unload, *victim)} : std::nullopt;
+    return victim ? std::optional{make_order(plan, server, order_operation::unload, *victim)} : std::nullopt;
 }
 
 bool adapter_planner::on_outcome(backend_directory& directory, const weights_order& order,
                                  order_outcome outcome, time_point now) {
-    backend* server = directory.find(order.server);
     const auto found = servers_.find(order.server);
-    if (server == nullptr || found == servers_.end() || server->listing.started_at != order.started_at ||
-        found->second.started_at != order.started_at) {
+    if (found == servers_.end() || found->second.started_at != order.started_at) {
         return false;
     }
     server_plan& plan = found->second;
     plan.is_awaiting_response = false;
-    server_listing& listing = server->listing;
-    const bool is_load = order.operation == order_operation::load;
     if (outcome == order_outcome::unknown) {
         plan.retry_at = now + refusal_backoff;
         // The order may be executed later, but never after a newer one, because of its expected sequence.
@@ -271,48 +276,75 @@
     if (order.is_check && outcome == order_outcome::accepted) {
         return false; // The load is still in progress.
     }
-    if (outcome == order_outcome::accepted) {
-        server->order_sequence = server->order_sequence.value_or(0) + 1;
+    // The platform may have dropped the server's entry since the order was sent.
+    backend* server = directory.find(order.server);
+    if (server != nullptr && server->listing.started_at != order.started_at) {
+        server = nullptr;
+    }
+    const bool is_unload = order.operation == order_operation::unload;
+    const bool was_executed = outcome == order_outcome::accepted || (is_unload && !order.weights.is_base());
+    if (was_executed) {
+        plan.order_sequence = order.expected_sequence.value_or(plan.order_sequence) + 1;
         plan.last_accepted_at = now;
     }
+    if (server != nullptr) {
+        server->order_sequence = plan.order_sequence;
+    }
     if (order.weights.is_base()) {
-        return on_model_outcome(plan, *server, order, outcome, now);
-    }
-    if (!is_load) {
-        listing.weights.adapters.erase(order.weights);
-        if (outcome == order_outcome::accepted) {
-            plan.needs_report = true; // The unload waits for running requests and keeps its slot until then.
-        } else {
-            server->order_sequence = server->order_sequence.value_or(0) + 1;
-            plan.last_accepted_at = now;
-        }
-        return true;
+        return on_model_outcome(plan, server, order, outcome, now);
     }
-    if (outcome == order_outcome::holds) {
-        plan.loads_in_progress.erase(order.weights);
-        plan.load_requests.erase(order.weights);
-        plan.last_used[order.weights] = now; // The requests that waited for the load are sent now.
-        listing.weights.adapters[order.weights] = order.version.value_or(1);
-        server->weights_reported_at = now;
-        server->update_cached_adapters(now);
-        return true;
-    }
-    const bool is_warm =
-        server->cached_adapters.contains(order.weights) && !listing.weights.adapters.contains(order.weights);
-    const duration load_time = is_warm ? settings_.warm_load_time : settings_.load_time;
-    plan.loads_in_progress[order.weights] = {now + load_time, now, order.version};
-    return false;
+    return is_unload ? on_unload_outcome(plan, server, order, outcome)
+                     : on_load_outcome(plan, server, order, outcome, now);
+}
+
+bool adapter_planner::on_unload_outcome(server_plan& plan, backend* server, const weights_order& order,
+                                        order_outcome outcome) const {
+    if (outcome == order_outcome::accepted) {
+        plan.needs_report = true; // The unload waits for running requests and keeps its slot until then.
+    } else {
+        plan.weights.adapters.erase(order.weights);
+    }
+    if (server != nullptr) {
+        server->listing.weights.adapters.erase(order.weights);
+    }
+    return server != nullptr;
 }
 
-bool adapter_planner::on_model_outcome(server_plan& plan, backend& server, const weights_order& order,
+bool adapter_planner::on_load_outcome(server_plan& plan, backend* server, const weights_order& order,
+                                      order_outcome outcome, time_point now) const {
+    if (outcome == order_outcome::accepted) {
+        const bool is_warm = server != nullptr && server->cached_adapters.contains(order.weights) &&
+                             !plan.weights.adapters.contains(order.weights);
+        const duration load_time = is_warm ? settings_.warm_load_time : settings_.load_time;
+        plan.loads_in_progress[order.weights] = {now + load_time, now, order.version};
+        return false;
+    }
+    plan.loads_in_progress.erase(order.weights);
+    plan.load_requests.erase(order.weights);
+    plan.last_used[order.weights] = now; // The requests that waited for the load are sent now.
+    plan.weights.adapters[order.weights] = order.version.value_or(1);
+    if (server == nullptr) {
+        return false;
+    }
+    server->listing.weights.adapters[order.weights] = order.version.value_or(1);
+    server->weights_reported_at = now;
+    server->update_cached_adapters(now);
+    return true;
+}
+
+bool adapter_planner::on_model_outcome(server_plan& plan, backend* server, const weights_order& order,
                                        order_outcome outcome, time_point now) const {
     if (outcome != order_outcome::holds) {
         plan.loads_in_progress[order.weights] = {now + settings_.model_check_interval, now, order.version};
         return false;
     }
     plan.loads_in_progress.erase(order.weights);
-    server.listing.weights.models.try_emplace(order.weights.model, order.version.value_or(1));
-    server.weights_reported_at = now;
+    plan.weights.models.try_emplace(order.weights.model, order.version.value_or(1));
+    if (server == nullptr) {
+        return false;
+    }
+    server->listing.weights.models.try_emplace(order.weights.model, order.version.value_or(1));
+    server->weights_reported_at = now;
     return true;
 }
 
@@ -338,7 +370,10 @@
     if (backend* server = directory.find(name); server != nullptr) {
         server->order_sequence.reset();
     }
-    plan.needs_report = !directory.on_weights_reported(name, started_at, sequence, weights, now);
+    directory.on_weights_reported(name, started_at, sequence, weights, now);
+    plan.needs_report = false;
+    plan.order_sequence = sequence;
+    plan.weights = weights;
     std::erase_if(plan.loads_in_progress, [&](const auto& entry) {
         return !loads_in_progress.contains(entry.first) && now - entry.second.started > load_timeout;
     });
--- a/modules/serving/adapter_planner_test.cpp
+++ b/modules/serving/adapter_planner_test.cpp
@@ -28,6 +28,14 @@
     CPPUNIT_TEST(conflict_of_a_base_model_check_needs_no_report);
     CPPUNIT_TEST(outdated_version_in_use_is_not_replaced_in_place);
     CPPUNIT_TEST(own_load_is_recorded_as_cached);
+    CPPUNIT_TEST(refused_adapter_keeps_its_place);
+    CPPUNIT_TEST(refused_adapter_is_loaded_again_in_its_place);
+    CPPUNIT_TEST(late_entry_frees_no_place);
+    CPPUNIT_TEST(message_with_the_known_sequence_frees_no_place);
+    CPPUNIT_TEST(message_with_a_higher_sequence_changes_no_expected_sequence);
+    CPPUNIT_TEST(waiting_eviction_keeps_its_place_when_an_entry_omits_it);
+    CPPUNIT_TEST(refused_check_keeps_the_load_in_progress);
+    CPPUNIT_TEST(refused_base_model_is_not_replaced_by_another_one);
     CPPUNIT_TEST_SUITE_END();
 
     const server_name name_{"s1"};
@@ -295,6 +303,118 @@
         load_request_causes_a_load_and_a_check();
         CPPUNIT_ASSERT(directory_.find(name_)->cached_adapters.contains(ref("a1")));
     }
+
+    /** Loads an adapter and marks it as in use, as well as another one that the server holds already. */
+    void fill_places() {
+        receive_first_report(3, {"a1"});
+        directory_.find(name_)->adapters_in_use[ref("a1")] = 1;
+        directory_.find(name_)->adapters_in_use[ref("a2")] = 1;
+        planner_.on_load_requested(name_, ref("a2"), now_);
+        planner_.on_outcome(directory_, orders().at(0), order_outcome::accepted, now_);
+        now_ += milliseconds{300};
+        planner_.on_outcome(directory_, orders().at(0), order_outcome::holds, now_);
+    }
+
+    /** Requests one more adapter than the server has places for. */
+    std::vector<weights_order> orders_for_one_more_adapter() {
+        planner_.on_load_requested(name_, ref("a3"), now_);
+        return orders();
+    }
+
+    // The server may have refused the request because of the adapter's version.
+    void refused_adapter_keeps_its_place() {
+        fill_places();
+        directory_.on_adapter_missing(name_, ref("a1"));
+        CPPUNIT_ASSERT(!planner_.on_use_refused(name_, ref("a1"), now_));
+        CPPUNIT_ASSERT(orders_for_one_more_adapter().empty());
+    }
+
+    void refused_adapter_is_loaded_again_in_its_place() {
+        fill_places();
+        directory_.on_adapter_missing(name_, ref("a1"));
+        planner_.on_load_requested(name_, ref("a1"), now_);
+        planner_.on_use_refused(name_, ref("a1"), now_);
+        const auto load = orders();
+        CPPUNIT_ASSERT(load.at(0).weights == ref("a1"));
+        CPPUNIT_ASSERT(planner_.on_outcome(directory_, load[0], order_outcome::holds, now_));
+        CPPUNIT_ASSERT(directory_.find(name_)->listing.weights.version_of(ref("a1")));
+        CPPUNIT_ASSERT(orders_for_one_more_adapter().empty());
+    }
+
+    // The platform's store may deliver an entry from before the last loads.
+    void late_entry_frees_no_place() {
+        fill_places();
+        now_ += seconds{5};
+        list_server({"base"});
+        CPPUNIT_ASSERT(orders_for_one_more_adapter().empty());
+    }
+
+    // A former holder may publish weights that it read before the last load had completed.
+    void message_with_the_known_sequence_frees_no_place() {
+        fill_places();
+        held_weights weights;
+        weights.models["base"] = 1;
+        weights.adapters[ref("a1")] = 1;
+        directory_.on_weights_reported(name_, 1, 4, weights, now_);
+        CPPUNIT_ASSERT(orders_for_one_more_adapter().empty());
+    }
+
+    // The message omits loads in progress, so an order with its sequence would be decided on too few places.
+    void message_with_a_higher_sequence_changes_no_expected_sequence() {
+        receive_first_report(3, {"a1"});
+        held_weights weights;
+        weights.models["base"] = 1;
+        weights.adapters[ref("a1")] = 1;
+        directory_.on_weights_reported(name_, 1, 4, weights, now_);
+        const auto load = orders_for_one_more_adapter();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, load.at(0).expected_sequence.value());
+        planner_.on_outcome(directory_, load[0], order_outcome::accepted, now_);
+        now_ += milliseconds{300};
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, orders().at(0).expected_sequence.value());
+    }
+
+    void waiting_eviction_keeps_its_place_when_an_entry_omits_it() {
+        receive_first_report(3, {"a1", "a2"});
+        planner_.on_outcome(directory_, orders_for_one_more_adapter().at(0), order_outcome::accepted, now_);
+        now_ += seconds{1};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, report_requests().size());
+        report(4, {"a1", "a2"});
+        directory_.find(name_)->adapters_in_use[ref("a1")] = 1;
+        directory_.find(name_)->adapters_in_use[ref("a2")] = 1;
+        now_ += seconds{5};
+        list_server({"base"});
+        CPPUNIT_ASSERT(orders_for_one_more_adapter().empty());
+    }
+
+    void refused_check_keeps_the_load_in_progress() {
+        receive_first_report(3, {"a1"});
+        directory_.find(name_)->adapters_in_use[ref("a1")] = 1;
+        planner_.on_load_requested(name_, ref("a2"), now_);
+        planner_.on_outcome(directory_, orders().at(0), order_outcome::accepted, now_);
+        now_ += milliseconds{300};
+        const auto check = orders();
+        CPPUNIT_ASSERT(check.at(0).is_check);
+        planner_.on_outcome(directory_, check[0], order_outcome::refused, now_);
+        CPPUNIT_ASSERT(orders_for_one_more_adapter().empty());
+        now_ += seconds{1};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, report_requests().size());
+        held_weights weights;
+        weights.models["base"] = 1;
+        weights.adapters[ref("a1")] = 1;
+        planner_.on_report(directory_, name_, 1, 4, weights, {ref("a2")}, now_);
+        CPPUNIT_ASSERT(orders_for_one_more_adapter().empty());
+    }
+
+    void refused_base_model_is_not_replaced_by_another_one() {
+        receive_first_report();
+        held_weights weights;
+        weights.models["other"] = 1;
+        planner_.on_report(directory_, name_, 1, 0, weights, {}, now_);
+        directory_.find(name_)->listing.weights.models = weights.models;
+        directory_.on_adapter_missing(name_, {"other", ""});
+        const auto order = orders();
+        CPPUNIT_ASSERT(order.empty() || order[0].weights.model == "other");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(adapter_planner_test);
--- a/modules/serving/include/lovageledge/serving/adapter_planner.hpp
+++ b/modules/serving/include/lovageledge/serving/adapter_planner.hpp
@@ -134,8 +134,19 @@
         time_point started{};
         std::optional<std::uint64_t> version;
     };
+    /** What the planner knows of one start of a server.
+
+        The sequence, the weights and the loads in progress describe the same state. They change only with the
+        server's own reports and responses, unlike the directory, which also takes over entries of the
+        platform, messages of other gateways and refused requests. With the expected sequence in each order,
+        no order can therefore be accepted by a server that has more adapters than counted here. */
     struct server_plan {
         std::uint64_t started_at = 0;
+        /** Number of orders that the server has accepted. */
+        std::uint64_t order_sequence = 0;
+        /** The weights that the server has loaded, including those whose unload waits for requests. */
+        held_weights weights;
+        std::map<adapter_ref, load_state> loads_in_progress;
         /** An order or a report request is unanswered. */
         bool is_awaiting_response = false;
         /** The server must report its weights before its next order. */
@@ -145,10 +156,12 @@
         /** When the load of each adapter was first and last requested. */
         std::map<adapter_ref, std::pair<time_point, time_point>> load_requests;
         std::map<adapter_ref, time_point> last_used;
-        std::map<adapter_ref, load_state> loads_in_progress;
         time_point model_ordered_at{};
         /** No orders or report requests are sent before this time. */
         time_point retry_at{};
+
+        /** @returns the number of adapter slots that are taken by loaded adapters and loads in progress */
+        std::size_t used_slots() const;
     };
 
     server_plan* find_plan(const backend& server, const route_table& routes,
@@ -166,9 +179,14 @@
                                            time_point now) const;
     std::optional<adapter_ref> pick_victim(const server_plan& plan, const backend& server,
                                            time_point now) const;
-    bool on_model_outcome(server_plan& plan, backend& server, const weights_order& order,
+    bool on_model_outcome(server_plan& plan, backend* server, const weights_order& order,
                           order_outcome outcome, time_point now) const;
-    weights_order make_order(const backend& server, order_operation operation, const adapter_ref& ref) const;
+    bool on_unload_outcome(server_plan& plan, backend* server, const weights_order& order,
+                           order_outcome outcome) const;
+    bool on_load_outcome(server_plan& plan, backend* server, const weights_order& order,
+                         order_outcome outcome, time_point now) const;
+    weights_order make_order(const server_plan& plan, const backend& server, order_operation operation,
+                             const adapter_ref& ref) const;
 
     planner_settings settings_;
     usage_function is_used_ = [](const backend&, const adapter_ref&) { return false; };
