Tests for servers whose platform entry is removed and returns

Callers saw: none yet; found while the planner's view was reviewed. Such a server would get no more loads until it refused a request. Cause: the directory forgot the sequence with the entry, and next_orders passed over servers without one while no report was due. The outcome of an order that ended while the entry was away was dropped, so that the planner waited for it for ever. Change: the two tests.

--- a/modules/serving/adapter_planner_test.cpp
+++ b/modules/serving/adapter_planner_test.cpp
@@ -36,6 +36,8 @@
     CPPUNIT_TEST(waiting_eviction_keeps_its_place_when_an_entry_omits_it);
     CPPUNIT_TEST(refused_check_keeps_the_load_in_progress);
     CPPUNIT_TEST(refused_base_model_is_not_replaced_by_another_one);
+    CPPUNIT_TEST(relisted_server_gets_orders);
+    CPPUNIT_TEST(outcome_for_an_unlisted_server_ends_the_wait_for_it);
     CPPUNIT_TEST_SUITE_END();
 
     const server_name name_{"s1"};
@@ -415,6 +417,31 @@
         const auto order = orders();
         CPPUNIT_ASSERT(order.empty() || order[0].weights.model == "other");
     }
+
+    // The platform drops the entries of live servers while its store is down.
+    void relisted_server_gets_orders() {
+        receive_first_report(3, {"a1"});
+        directory_.on_unlisted(name_);
+        list_server({"base"});
+        report_requests();
+        now_ += seconds{1};
+        if (!report_requests().empty()) {
+            report(3, {"a1"});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders_for_one_more_adapter().size());
+    }
+
+    void outcome_for_an_unlisted_server_ends_the_wait_for_it() {
+        receive_first_report(3, {"a1"});
+        const auto load = orders_for_one_more_adapter();
+        directory_.on_unlisted(name_);
+        planner_.on_outcome(directory_, load.at(0), order_outcome::accepted, now_);
+        list_server({"base"});
+        now_ += seconds{1};
+        const auto check = orders();
+        CPPUNIT_ASSERT(check.at(0).is_check);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, check[0].expected_sequence.value());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(adapter_planner_test);
