two_holders: the late claim's orders are awaited for longer

Cause: a successor that waits for a lease after its claim was carried out would give its first orders after the scenario. Changed: the claim is carried out 5 s after it was made (before: 5.5 s), and orders are due for 10 s after the holder resumes (before: 8 s). The former holder is still without a fault for more than 4 s when the claim is carried out. Conclusion: the scenario also covers a succession that waits.

--- a/tests/soak/test_two_holders.py
+++ b/tests/soak/test_two_holders.py
@@ -112,10 +112,10 @@
             if record != RECORD or spec["holder"] in ("", name):
                 return None
             claims.append(spec["holder"])
-            return DISTURBANCE_S + 1.5
+            return DISTURBANCE_S + 1.0
         self.soak.store.late_write_delay = delay_claim
         await self.pause_holder_until(lambda: claims)
-        end, requests = time.monotonic() + DISTURBANCE_S + 4.0, []
+        end, requests = time.monotonic() + DISTURBANCE_S + 6.0, []
         while time.monotonic() < end:
             requests.append(asyncio.create_task(self.request_adapters(self.peers + [self.holder])))
             await asyncio.sleep(0.2)
