A lost connection between gateways is opened again within two seconds

Cause: both reach the store again at once, but their connections stay down: ZeroMQ's attempt to connect waits for the kernel, which repeats a lost request at growing intervals. Change: an attempt to connect ends after 0.7 s, and the next one begins within 1 s. Figures: connection_returns_soon_after_the_peer_accepts_again failed before (no connection 2 s after the listener accepts again) and passes now. The lease alone already keeps the orders apart; this shortens the time without a settled holder.

--- a/modules/transport/peer_socket.cpp
+++ b/modules/transport/peer_socket.cpp
@@ -18,6 +18,9 @@
 /** Initial and maximum delay before a lost connection is opened again. */
 constexpr int reconnect_interval_ms = 100;
 constexpr int max_reconnect_interval_ms = 1000;
+/** Time limit of one attempt to connect. Without it, the kernel repeats a lost connection request at growing
+    intervals of up to minutes, and the connection stays down that much longer than the network. */
+constexpr int connect_timeout_ms = 700;
 
 } // namespace
 
@@ -124,6 +127,7 @@
     socket.set(zmq::sockopt::heartbeat_timeout, heartbeat_timeout_ms);
     socket.set(zmq::sockopt::reconnect_ivl, reconnect_interval_ms);
     socket.set(zmq::sockopt::reconnect_ivl_max, max_reconnect_interval_ms);
+    socket.set(zmq::sockopt::connect_timeout, connect_timeout_ms);
     // Drops messages while the peer is not connected, rather than keep them until it restarts.
     socket.set(zmq::sockopt::immediate, 1);
     socket.connect("tcp://" + address);
--- a/modules/transport/peer_socket_test.cpp
+++ b/modules/transport/peer_socket_test.cpp
@@ -1,13 +1,17 @@
 #include "lovageledge/transport/peer_socket.hpp"
 
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <cppunit/extensions/HelperMacros.h>
 #include <csignal>
 #include <filesystem>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <sys/syscall.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 namespace lovageledge {
 namespace {
@@ -15,6 +19,7 @@
 class peer_socket_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(peer_socket_test);
     CPPUNIT_TEST(signal_does_not_end_the_receiver);
+    CPPUNIT_TEST(connection_returns_soon_after_the_peer_accepts_again);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* address = "127.0.0.1:20917";
@@ -54,6 +59,54 @@
         ::sigaction(SIGUSR1, &previous_action, nullptr);
         CPPUNIT_ASSERT(received > 0);
     }
+
+    /** @returns a connection to a socket's address that is still being opened */
+    static int begin_connecting(const sockaddr_in& target) {
+        const int connection = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        ::connect(connection, reinterpret_cast<const sockaddr*>(&target), sizeof target);
+        return connection;
+    }
+
+    // A listener with a full queue ignores connection requests, as a network does that loses them. The kernel
+    // repeats a request at growing intervals: after 7.5 s, the next one is at least 3 s away.
+    void connection_returns_soon_after_the_peer_accepts_again() {
+        const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        sockaddr_in target{};
+        target.sin_family = AF_INET;
+        target.sin_addr.s_addr = ::htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof target;
+        CPPUNIT_ASSERT(::bind(listener, reinterpret_cast<sockaddr*>(&target), length) == 0);
+        CPPUNIT_ASSERT(::listen(listener, 0) == 0);
+        CPPUNIT_ASSERT(::getsockname(listener, reinterpret_cast<sockaddr*>(&target), &length) == 0);
+        const std::array<int, 2> fillers{begin_connecting(target), begin_connecting(target)};
+        std::this_thread::sleep_for(std::chrono::milliseconds{100});
+
+        peer_socket sender{[](const protocol::Envelope&) {}, [](const error&) {}};
+        sender.connect(instance_name{"peer"}, "127.0.0.1:" + std::to_string(::ntohs(target.sin_port)));
+        std::this_thread::sleep_for(std::chrono::milliseconds{7500});
+        for (const int filler : fillers) {
+            ::close(filler);
+        }
+        const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds{2};
+        bool has_greeting = false;
+        std::vector<int> accepted;
+        while (!has_greeting && std::chrono::steady_clock::now() < limit) {
+            if (const int connection = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
+                connection >= 0) {
+                accepted.push_back(connection);
+            }
+            for (const int connection : accepted) {
+                char byte = 0;
+                has_greeting = has_greeting || ::recv(connection, &byte, 1, 0) == 1;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds{10});
+        }
+        for (const int connection : accepted) {
+            ::close(connection);
+        }
+        ::close(listener);
+        CPPUNIT_ASSERT(has_greeting);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(peer_socket_test);
