A new holder gets the time to begin before it can be replaced

Cause: a gateway judged a new holder by messages from before it held the domain, and claimed at once. With the lease alone, holders that do not hear each other replace each other every 1.5 s, before either may order. Change: a new holder that has to wait counts as seen until its wait ends; one whose predecessor has stopped, for 1.5 s. While two gateways don't hear each other, the domain still changes hands, every 5.5 s at most, with orders between.

--- a/modules/serving/order_succession.cpp
+++ b/modules/serving/order_succession.cpp
@@ -31,7 +31,11 @@
     revision_ = revision;
     highest_fence_ = std::max(highest_fence_, record_.fence);
     if (former.holder != record_.holder || former.start != record_.start) {
-        holder_seen_at_ = std::max(holder_seen_at_, now);
+        // The new holder may have to wait, and to open a connection to this instance.
+        const duration grace = record_.has_predecessor_stopped
+                                   ? settings_.holder_timeout
+                                   : settings_.confirmation_lifetime + settings_.order_lease;
+        holder_seen_at_ = std::max(holder_seen_at_, now + grace);
         missing_since_.reset();
     }
     if (is_recorded_as_holder()) {
--- a/modules/serving/order_succession_test.cpp
+++ b/modules/serving/order_succession_test.cpp
@@ -57,6 +57,8 @@
     CPPUNIT_TEST(fence_does_not_fall_when_the_record_is_removed);
     CPPUNIT_TEST(stalled_instance_does_not_replace_the_holder);
     CPPUNIT_TEST(instance_that_has_ended_does_not_order);
+    CPPUNIT_TEST(new_holder_that_is_not_heard_yet_is_not_replaced);
+    CPPUNIT_TEST(holders_that_do_not_hear_each_other_do_not_order_in_turn);
     CPPUNIT_TEST(orders_of_two_holders_never_alternate_under_random_faults);
     CPPUNIT_TEST_SUITE_END();
 
@@ -320,6 +322,45 @@
         CPPUNIT_ASSERT(!a.next_claim(start_ + seconds{60}));
     }
 
+    void new_holder_that_is_not_heard_yet_is_not_replaced() {
+        auto [a, b] = make_pair_with_holder();
+        const time_point claimed = tick_until_claim(b, start_ + seconds{3});
+        a.tick(claimed);
+        // The former holder has not heard from any other holder for a long time.
+        a.on_record(stored_.record, stored_.revision, claimed);
+        CPPUNIT_ASSERT(!a.next_claim(claimed));
+        const duration wait = settings_.confirmation_lifetime + settings_.order_lease;
+        for (time_point now = claimed; now < claimed + wait + settings_.holder_timeout;
+             now += milliseconds{150}) {
+            a.tick(now);
+            CPPUNIT_ASSERT(!a.next_claim(now));
+        }
+    }
+
+    void holders_that_do_not_hear_each_other_do_not_order_in_turn() {
+        auto [a, b] = make_pair_with_holder();
+        std::optional<time_point> last_order;
+        bool was_first = true;
+        std::size_t changes = 0;
+        for (time_point now = start_ + seconds{1}; now < start_ + seconds{60}; now += milliseconds{50}) {
+            for (order_succession* instance : {&a, &b}) {
+                instance->tick(now);
+                instance->next_claim(now) ? claim(*instance, now) : read(*instance, now);
+                if (!instance->may_order(now)) {
+                    continue;
+                }
+                const bool is_first = instance == &a;
+                CPPUNIT_ASSERT(!last_order || is_first == was_first ||
+                               now - *last_order >= settings_.order_lease);
+                changes += is_first == was_first ? 0 : 1;
+                was_first = is_first;
+                last_order = now;
+            }
+        }
+        CPPUNIT_ASSERT(changes > 2);
+        CPPUNIT_ASSERT(*last_order > start_ + seconds{50});
+    }
+
     void orders_of_two_holders_never_alternate_under_random_faults();
 };
 
