A release tells that its predecessor has stopped only after the lease has passed

What callers could see: orders of two holders 0.16 s apart without a release between them. Cause: a new holder that is stopped before its first order released the domain with the note that all before it have stopped, as soon as the former holder's confirmations had expired, but before order_lease had passed; its successor ordered at once. Change: the note needs the lease to have passed. The model's check is stricter: a gap is needed unless the last sender of orders has released the domain itself; 500 seeds instead of 150.

--- a/modules/serving/order_succession.cpp
+++ b/modules/serving/order_succession.cpp
@@ -168,7 +168,8 @@
     record_write write;
     write.record.start = start_;
     write.record.fence = highest_fence_ + 1;
-    write.record.has_predecessor_stopped = now >= predecessor_stopped_at_;
+    // Before that, the lease of an earlier holder has not passed yet.
+    write.record.has_predecessor_stopped = now >= orders_from_;
     write.required_revision = revision_;
     return write;
 }
--- a/modules/serving/order_succession_test.cpp
+++ b/modules/serving/order_succession_test.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST(holder_without_confirmation_is_replaced);
     CPPUNIT_TEST(released_domain_passes_on_without_delay);
     CPPUNIT_TEST(released_domain_waits_for_the_lease_if_servers_do_not_check_fences);
+    CPPUNIT_TEST(release_does_not_shorten_the_wait_for_an_earlier_holder);
     CPPUNIT_TEST(restarted_holder_continues_at_once);
     CPPUNIT_TEST(restart_does_not_shorten_the_wait_for_an_earlier_holder);
     CPPUNIT_TEST(heartbeat_of_a_newer_holder_stops_the_former_one);
@@ -247,6 +248,20 @@
         CPPUNIT_ASSERT(b.may_order(claimed + settings_.order_lease));
     }
 
+    // The holder before the one that releases the domain may have sent orders until just before.
+    void release_does_not_shorten_the_wait_for_an_earlier_holder() {
+        auto [a, b] = make_pair_with_holder();
+        order_succession c = make_instance("c", {"a", "b"});
+        c.start(start_);
+        const time_point claimed = tick_until_claim(b, start_ + seconds{3});
+        const time_point released = claimed + settings_.confirmation_lifetime;
+        CPPUNIT_ASSERT(b.has_predecessor_stopped(released));
+        b.end();
+        CPPUNIT_ASSERT(stored_.write(*b.release(released)));
+        c.on_record(stored_.record, stored_.revision, released);
+        CPPUNIT_ASSERT(!c.may_order(tick_until_claim(c, released)));
+    }
+
     void restarted_holder_continues_at_once() {
         make_pair_with_holder();
         order_succession restarted = make_instance("a", {"b"}, {}, "2");
@@ -489,6 +504,7 @@
         if (now_ >= self.stops_at) {
             succession.end();
             if (const auto write = succession.release(now_)) {
+                released_at_[self.name] = now_;
                 write_record(index, *write);
             }
             restart(self);
@@ -518,8 +534,9 @@
     void on_order(const node& self) {
         const std::uint64_t fence = self.succession.record().fence;
         const bool is_other = last_order_ && last_orderer_ != self.name;
-        const bool needs_gap =
-            !settings_.servers_check_fences || !self.succession.record().has_predecessor_stopped;
+        const auto released = released_at_.find(last_orderer_);
+        const bool has_released = released != released_at_.end() && released->second >= *last_order_;
+        const bool needs_gap = !settings_.servers_check_fences || !has_released;
         if (last_order_ && fence < last_fence_) {
             violation_ = self.name + " orders with a lower fence than " + last_orderer_;
         } else if (is_other && fence == last_fence_) {
@@ -625,11 +642,13 @@
     std::optional<time_point> last_order_;
     std::string last_orderer_;
     std::uint64_t last_fence_ = 0;
+    /** When each instance last stopped sending orders in a planned stop. */
+    std::map<std::string, time_point> released_at_;
     std::string violation_;
 };
 
 void order_succession_test::orders_of_two_holders_never_alternate_under_random_faults() {
-    for (unsigned seed = 1; seed <= 150; ++seed) {
+    for (unsigned seed = 1; seed <= 500; ++seed) {
         const std::string violation = faulty_data_centre{seed, seed % 2 == 0}.run();
         CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), std::string{}, violation);
     }
