A stopping holder hands over at once; claims begin with the registration

What callers could see: orders of a holder up to 7 s after its stop signal, and a handover without a release where an order was still unanswered at the exit: 5 s without orders then. Cause: the domain was released at the end of the stop, with 0.25 s left for the answers to orders that may take 1.6 s; a gateway could hold the domain before the others knew that it must confirm heartbeats; a restarted peer counted as stopping until it was heard. Change: a stopping holder sends no more orders, waits for the answers up to 1.8 s and releases the domain at once if another gateway is not stopping, else at its end. A gateway claims only after its registration was acknowledged. A peer's new start resets what is known of it. A holder that knows of a newer token no longer acts as one before it has read the record.

--- a/modules/gateway/include/lovageledge/gateway/order_coordinator.hpp
+++ b/modules/gateway/include/lovageledge/gateway/order_coordinator.hpp
@@ -31,9 +31,10 @@
     /** Listens for peer messages and starts the periodic tasks.
         @returns false and sets failure if the address can't be bound */
     bool start(error& failure);
-    /** Announces a graceful shutdown to the peers; from now on they are preferred as holders. */
+    /** Announces a graceful shutdown to the peers, and releases the order domain if one of them can take it
+        over. */
     void begin_stop();
-    /** Sends no more orders, and releases the order domain if this gateway holds it. */
+    /** Sends no more orders, and releases the order domain if this gateway still holds it. */
     asio::awaitable<void> finish_stop();
 
     /** Handles a gateway or order domain record that was read from the store. */
@@ -71,7 +72,9 @@
     asio::awaitable<void> planning_loop();
     asio::awaitable<void> write_domain_record(order_succession::record_write write);
     asio::awaitable<void> read_domain_record();
-    asio::awaitable<void> wait_for_unanswered_orders();
+    /** Sends no more orders, and releases the domain if all orders are answered within a time limit. */
+    asio::awaitable<void> release_domain(duration answer_limit);
+    asio::awaitable<void> wait_for_unanswered_orders(duration limit);
     asio::awaitable<void> dispatch_order(weights_order order, std::string address, order_authority authority);
     asio::awaitable<void> read_server_weights(server_name server, std::string address);
     void issue_orders();
--- a/modules/gateway/order_coordinator.cpp
+++ b/modules/gateway/order_coordinator.cpp
@@ -19,8 +19,10 @@
 constexpr auto idle_plan_interval = milliseconds{150};
 /** Delay after a failed write of a record. */
 constexpr auto write_retry_delay = milliseconds{700};
-/** How long a stopping holder waits for the responses to its orders before it releases the domain. */
-constexpr auto order_drain_limit = milliseconds{250};
+/** How long a stopping holder waits for the responses to its orders before it releases the domain: longer
+    than the time limits of an order, unless the process is about to exit. */
+constexpr auto order_drain_limit = milliseconds{1800};
+constexpr auto order_drain_limit_at_exit = milliseconds{250};
 constexpr auto order_drain_interval = milliseconds{10};
 
 /** A holder relays store updates if its data centre has at least this many other gateways. */
@@ -86,12 +88,19 @@
     message.mutable_gateway_state()->set_data_centre(state_.settings.data_centre.text());
     message.mutable_gateway_state()->set_stopping(true);
     peers_.send_to_data_centre(message);
+    if (holds_domain() && succession_.has_other_candidate()) {
+        asio::co_spawn(context_, release_domain(order_drain_limit), asio::detached);
+    }
 }
 
 asio::awaitable<void> order_coordinator::finish_stop() {
     is_stopped_ = true;
+    co_await release_domain(order_drain_limit_at_exit);
+}
+
+asio::awaitable<void> order_coordinator::release_domain(duration answer_limit) {
     succession_.end();
-    co_await wait_for_unanswered_orders();
+    co_await wait_for_unanswered_orders(answer_limit);
     const auto release = succession_.release(succession_time());
     // After a release the next holder does not wait, so no order of this one may still be on its way.
     if (release && unanswered_orders_ == 0) {
@@ -99,10 +108,10 @@
     }
 }
 
-asio::awaitable<void> order_coordinator::wait_for_unanswered_orders() {
+asio::awaitable<void> order_coordinator::wait_for_unanswered_orders(duration limit) {
     asio::steady_timer timer{context_};
-    const time_point limit = state_.now() + order_drain_limit;
-    while (unanswered_orders_ > 0 && state_.now() < limit) {
+    const time_point end = state_.now() + limit;
+    while (unanswered_orders_ > 0 && state_.now() < end) {
         timer.expires_after(order_drain_interval);
         boost::system::error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
@@ -112,9 +121,7 @@
 // Records in the platform's store
 
 void order_coordinator::on_records_complete() {
-    succession_.start(succession_time());
     asio::co_spawn(context_, register_self(), asio::detached);
-    maintain_domain();
 }
 
 asio::awaitable<void> order_coordinator::register_self() {
@@ -136,6 +143,8 @@
             record_revisions_[name] = result.record->revision;
         }
         if (result.outcome == write_outcome::done) {
+            succession_.start(succession_time());
+            maintain_domain();
             co_return;
         }
         timer.expires_after(write_retry_delay);
@@ -157,7 +166,7 @@
         const bool is_local_peer = data_centre_name{gateway.data_centre()} == state_.settings.data_centre &&
                                    instance_name{gateway.instance()} != state_.settings.name;
         if (is_local_peer) {
-            succession_.on_peer_listed(instance_name{gateway.instance()});
+            succession_.on_peer_listed(instance_name{gateway.instance()}, start_id{gateway.start()});
         }
         state_.retries.set_instances(instance_count());
     }
--- a/modules/serving/include/lovageledge/serving/order_succession.hpp
+++ b/modules/serving/include/lovageledge/serving/order_succession.hpp
@@ -72,15 +72,16 @@
     /** @param key identifies the data centre in the order of the candidates */
     order_succession(instance_name self, start_id start, std::string key, succession_settings settings);
 
-    /** Starts to replace missing holders. Call this when all records have been read for the first time. */
+    /** Starts to replace missing holders. Call this when all records have been read for the first time, and
+        this instance is registered, so that others know that it must confirm the holder. */
     void start(time_point now);
     /** Announces a graceful shutdown: other instances are preferred as holders. */
     void begin_stop() { is_stopping_ = true; }
     /** Stops sending orders for good. */
     void end() { has_ended_ = true; }
 
-    /** Adds another instance of the data centre. */
-    void on_peer_listed(const instance_name& peer) { peers_.try_emplace(peer); }
+    /** Adds or updates another instance of the data centre. */
+    void on_peer_listed(const instance_name& peer, const start_id& start);
     void on_peer_unlisted(const instance_name& peer) { peers_.erase(peer); }
     void on_peer_stopping(const instance_name& peer, bool is_stopping);
 
@@ -116,7 +117,9 @@
     /** @returns true if a read of the record is due, to confirm that this instance still holds the domain */
     bool should_read_record(time_point now) const;
 
-    /** @returns true if this instance is recorded as the holder and has not ended */
+    /** @returns true if an instance that is not stopping can take over the domain */
+    bool has_other_candidate() const;
+    /** @returns true if this instance is recorded as the holder, knows of no newer one and has not ended */
     bool holds_domain() const;
     /** @returns true if this instance may send an order with the current fencing token now */
     bool may_order(time_point now) const;
@@ -133,6 +136,7 @@
 
 private:
     struct peer_state {
+        start_id start;
         /** When the last heartbeat that the peer has confirmed was sent. */
         std::optional<time_point> confirmed_at;
         bool is_stopping = false;
--- a/modules/serving/order_succession.cpp
+++ b/modules/serving/order_succession.cpp
@@ -16,6 +16,13 @@
     holder_seen_at_ = now + settings_.holder_timeout;
 }
 
+void order_succession::on_peer_listed(const instance_name& peer, const start_id& start) {
+    peer_state& state = peers_[peer];
+    if (state.start != start) {
+        state = {start, std::nullopt, false};
+    }
+}
+
 void order_succession::on_peer_stopping(const instance_name& peer, bool is_stopping) {
     const auto found = peers_.find(peer);
     if (found != peers_.end()) {
@@ -177,7 +184,7 @@
 bool order_succession::should_read_record(time_point now) const {
     const bool is_due =
         highest_fence_ > record_.fence || !is_confirmed_within(settings_.confirmation_lifetime / 2, now);
-    return is_due && holds_domain() && now >= store_retry_at_;
+    return is_due && is_recorded_as_holder() && !has_ended_ && now >= store_retry_at_;
 }
 
 bool order_succession::is_recorded_as_holder() const {
@@ -185,7 +192,12 @@
 }
 
 bool order_succession::holds_domain() const {
-    return is_recorded_as_holder() && !has_ended_;
+    return is_recorded_as_holder() && highest_fence_ == record_.fence && !has_ended_;
+}
+
+bool order_succession::has_other_candidate() const {
+    return std::any_of(peers_.begin(), peers_.end(),
+                       [](const auto& entry) { return !entry.second.is_stopping; });
 }
 
 std::optional<time_point> order_succession::confirmed_at() const {
@@ -210,8 +222,7 @@
 }
 
 bool order_succession::may_order(time_point now) const {
-    return holds_domain() && highest_fence_ == record_.fence && now >= orders_from_ &&
-           is_confirmed_within(settings_.confirmation_lifetime, now);
+    return holds_domain() && now >= orders_from_ && is_confirmed_within(settings_.confirmation_lifetime, now);
 }
 
 bool order_succession::has_predecessor_stopped(time_point now) const {
--- a/modules/serving/order_succession_test.cpp
+++ b/modules/serving/order_succession_test.cpp
@@ -18,7 +18,7 @@
     order_succession instance{instance_name{name}, start_id{run}, key, settings};
     for (const std::string& peer : peers) {
         if (peer != name) {
-            instance.on_peer_listed(instance_name{peer});
+            instance.on_peer_listed(instance_name{peer}, start_id{"1"});
         }
     }
     return instance;
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(fence_does_not_fall_when_the_record_is_removed);
     CPPUNIT_TEST(stalled_instance_does_not_replace_the_holder);
     CPPUNIT_TEST(instance_that_has_ended_does_not_order);
+    CPPUNIT_TEST(restarted_peer_is_a_candidate_again);
     CPPUNIT_TEST(new_holder_that_is_not_heard_yet_is_not_replaced);
     CPPUNIT_TEST(holders_that_do_not_hear_each_other_do_not_order_in_turn);
     CPPUNIT_TEST(orders_of_two_holders_never_alternate_under_random_faults);
@@ -193,7 +194,7 @@
 
     void one_silent_peer_withholds_the_confirmation() {
         auto [a, b] = make_pair_with_holder();
-        a.on_peer_listed(instance_name{"c"});
+        a.on_peer_listed(instance_name{"c"}, start_id{"1"});
         const time_point now = start_ + seconds{4};
         send_heartbeat(a, "a", b, "b", now);
         CPPUNIT_ASSERT(!a.may_order(now));
@@ -209,7 +210,7 @@
 
     void holder_without_confirmation_is_replaced() {
         auto [a, b] = make_pair_with_holder();
-        a.on_peer_listed(instance_name{"c"});
+        a.on_peer_listed(instance_name{"c"}, start_id{"1"});
         const time_point from = start_ + seconds{5};
         for (time_point now = from; now < from + seconds{10}; now += milliseconds{150}) {
             b.tick(now);
@@ -337,6 +338,16 @@
         CPPUNIT_ASSERT(!a.next_claim(start_ + seconds{60}));
     }
 
+    void restarted_peer_is_a_candidate_again() {
+        auto [a, b] = make_pair_with_holder();
+        CPPUNIT_ASSERT(a.has_other_candidate());
+        a.on_peer_stopping(instance_name{"b"}, true);
+        a.on_peer_listed(instance_name{"b"}, start_id{"1"});
+        CPPUNIT_ASSERT(!a.has_other_candidate());
+        a.on_peer_listed(instance_name{"b"}, start_id{"2"});
+        CPPUNIT_ASSERT(a.has_other_candidate());
+    }
+
     void new_holder_that_is_not_heard_yet_is_not_replaced() {
         auto [a, b] = make_pair_with_holder();
         const time_point claimed = tick_until_claim(b, start_ + seconds{3});
