Weights of a server are taken from its holder only

Change: messages about servers of the own data centre count only if they come from the recorded holder; the holder ignores all.

--- a/modules/gateway/include/lovageledge/gateway/order_coordinator.hpp
+++ b/modules/gateway/include/lovageledge/gateway/order_coordinator.hpp
@@ -103,7 +103,7 @@
     void on_store_update(const protocol::StoreUpdate& update);
     void add_weights_request(const backend& server, const adapter_ref& ref, bool was_refused);
     void on_weights_wanted(const protocol::WeightsWanted& message);
-    void on_weights_held(const protocol::WeightsHeld& message);
+    void on_weights_held(const protocol::Envelope& envelope);
     void log_order(const weights_order& order, const order_result& result, const order_authority& authority);
 
     asio::io_context& context_;
--- a/modules/gateway/order_coordinator.cpp
+++ b/modules/gateway/order_coordinator.cpp
@@ -371,7 +371,7 @@
     } else if (message.has_weights_wanted()) {
         on_weights_wanted(message.weights_wanted());
     } else if (message.has_weights_held()) {
-        on_weights_held(message.weights_held());
+        on_weights_held(message);
         if (sender->data_centre != state_.settings.data_centre) {
             protocol::Envelope relayed;
             *relayed.mutable_weights_held() = message.weights_held();
@@ -430,7 +430,14 @@
     issue_orders();
 }
 
-void order_coordinator::on_weights_held(const protocol::WeightsHeld& message) {
+void order_coordinator::on_weights_held(const protocol::Envelope& envelope) {
+    const protocol::WeightsHeld& message = envelope.weights_held();
+    const server_name server{message.server()};
+    const backend* known = state_.directory.find(server);
+    const bool is_managed_here = known != nullptr && known->listing.zone == state_.settings.data_centre;
+    if (is_managed_here && !is_from_holder(envelope)) {
+        return; // A former holder may not know the latest orders.
+    }
     held_weights weights;
     for (const auto& ref : message.weights()) {
         if (ref.adapter().empty()) {
@@ -439,7 +446,6 @@
             weights.adapters[to_ref(ref)] = ref.version();
         }
     }
-    const server_name server{message.server()};
     if (state_.directory.on_weights_reported(server, message.started_at(), message.sequence(),
                                              std::move(weights), state_.now())) {
         wake_waiters(server);
