Queues of messages between gateways are bounded

Cause: up to 100,000 messages are queued for each peer. A holder on a link of 10 Mbit/s sends heartbeats, updates and weights to 13 peers faster than its link carries them; they wait in memory, and arrive when they are outdated. Change: the limit is a parameter of peer_socket; gateways queue 200 messages for a peer, with a send buffer of 64 KiB. What is dropped is repeated (heartbeats, weights) or read from the store (updates). ledged keeps its limit.

--- a/modules/gateway/peer_directory.cpp
+++ b/modules/gateway/peer_directory.cpp
@@ -4,10 +4,17 @@
 #include <spdlog/spdlog.h>
 
 namespace lovageledge {
+namespace {
+
+/** Messages to a gateway that are queued at most. All of them are repeated or read from the store later. */
+constexpr int queue_limit = 200;
+
+} // namespace
 
 peer_directory::peer_directory(const gateway_settings& settings, peer_socket::message_handler on_message)
     : settings_{settings}, socket_{std::move(on_message),
-                                   [](const error& failure) { spdlog::warn("{}", failure.text()); }} {}
+                                   [](const error& failure) { spdlog::warn("{}", failure.text()); },
+                                   queue_limit} {}
 
 bool peer_directory::listen(error& failure) {
     return socket_.listen(settings_.peer_address, failure);
--- a/modules/transport/include/lovageledge/transport/peer_socket.hpp
+++ b/modules/transport/include/lovageledge/transport/peer_socket.hpp
@@ -23,10 +23,16 @@
     using message_handler = std::function<void(const protocol::Envelope&)>;
     using error_handler = std::function<void(const error&)>;
 
+    /** Queue limit for messages that must not be lost while a peer is slow. */
+    static constexpr int default_queue_limit = 100'000;
+
     /** @param on_message called on the socket's receiver thread, for one message at a time
         @param on_error called on the same thread for messages that can't be parsed, and when receiving fails
-        for good */
-    peer_socket(message_handler on_message, error_handler on_error);
+        for good
+        @param queue_limit maximum number of messages that are queued per peer in each direction. A low limit
+        suits messages that are soon outdated, such as heartbeats: on a slow link, they are dropped rather
+        than delayed. */
+    peer_socket(message_handler on_message, error_handler on_error, int queue_limit = default_queue_limit);
     ~peer_socket();
     peer_socket(const peer_socket&) = delete;
     peer_socket& operator=(const peer_socket&) = delete;
--- a/modules/transport/peer_socket.cpp
+++ b/modules/transport/peer_socket.cpp
@@ -10,8 +10,8 @@
 namespace lovageledge {
 namespace {
 
-/** Maximum number of messages that are queued per peer in each direction. */
-constexpr int high_water_mark = 100'000;
+/** Size of the kernel's send buffer of a socket with a low queue limit, in bytes. */
+constexpr int small_send_buffer_bytes = 64 * 1024;
 /** Interval and timeout of ZeroMQ's heartbeats, which detect dead connections. */
 constexpr int heartbeat_interval_ms = 1000;
 constexpr int heartbeat_timeout_ms = 3000;
@@ -25,14 +25,14 @@
 } // namespace
 
 struct peer_socket::implementation {
-    implementation(message_handler message_callback, error_handler error_callback)
+    implementation(message_handler message_callback, error_handler error_callback, int given_queue_limit)
         : on_message{std::move(message_callback)}, on_error{std::move(error_callback)},
-          inbound{context, zmq::socket_type::pull}, wake_receiver{context, zmq::socket_type::pair},
-          wake_sender{context, zmq::socket_type::pair} {
+          queue_limit{given_queue_limit}, inbound{context, zmq::socket_type::pull},
+          wake_receiver{context, zmq::socket_type::pair}, wake_sender{context, zmq::socket_type::pair} {
         wake_receiver.bind("inproc://wake");
         wake_sender.connect("inproc://wake");
         inbound.set(zmq::sockopt::linger, 0);
-        inbound.set(zmq::sockopt::rcvhwm, high_water_mark);
+        inbound.set(zmq::sockopt::rcvhwm, queue_limit);
         inbound.set(zmq::sockopt::maxmsgsize, static_cast<std::int64_t>(max_peer_message_bytes));
         inbound.set(zmq::sockopt::heartbeat_ivl, heartbeat_interval_ms);
         inbound.set(zmq::sockopt::heartbeat_timeout, heartbeat_timeout_ms);
@@ -47,6 +47,7 @@
 
     message_handler on_message;
     error_handler on_error;
+    const int queue_limit;
     zmq::context_t context{1};
     zmq::socket_t inbound;
     /** A message on this pair of sockets ends the receiver thread. */
@@ -98,8 +99,9 @@
     return true;
 }
 
-peer_socket::peer_socket(message_handler on_message, error_handler on_error)
-    : implementation_{std::make_unique<implementation>(std::move(on_message), std::move(on_error))} {}
+peer_socket::peer_socket(message_handler on_message, error_handler on_error, int queue_limit)
+    : implementation_{
+          std::make_unique<implementation>(std::move(on_message), std::move(on_error), queue_limit)} {}
 
 peer_socket::~peer_socket() {
     if (implementation_->thread.joinable()) {
@@ -122,7 +124,10 @@
 void peer_socket::connect(const instance_name& peer, const std::string& address) {
     zmq::socket_t socket{implementation_->context, zmq::socket_type::push};
     socket.set(zmq::sockopt::linger, 0);
-    socket.set(zmq::sockopt::sndhwm, high_water_mark);
+    socket.set(zmq::sockopt::sndhwm, implementation_->queue_limit);
+    if (implementation_->queue_limit < default_queue_limit) {
+        socket.set(zmq::sockopt::sndbuf, small_send_buffer_bytes);
+    }
     socket.set(zmq::sockopt::heartbeat_ivl, heartbeat_interval_ms);
     socket.set(zmq::sockopt::heartbeat_timeout, heartbeat_timeout_ms);
     socket.set(zmq::sockopt::reconnect_ivl, reconnect_interval_ms);
--- a/modules/transport/peer_socket_test.cpp
+++ b/modules/transport/peer_socket_test.cpp
@@ -6,6 +6,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <csignal>
 #include <filesystem>
+#include <mutex>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <sys/syscall.h>
@@ -20,6 +21,7 @@
     CPPUNIT_TEST_SUITE(peer_socket_test);
     CPPUNIT_TEST(signal_does_not_end_the_receiver);
     CPPUNIT_TEST(connection_returns_soon_after_the_peer_accepts_again);
+    CPPUNIT_TEST(messages_to_a_peer_that_does_not_read_are_bounded);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* address = "127.0.0.1:20917";
@@ -60,6 +62,39 @@
         CPPUNIT_ASSERT(received > 0);
     }
 
+    // A holder on a slow link must not keep heartbeats in memory that are outdated when they are sent.
+    void messages_to_a_peer_that_does_not_read_are_bounded() {
+        constexpr int queue_limit = 200;
+        constexpr std::uint64_t message_bytes = 10'000;
+        std::mutex received_mutex;
+        std::unique_lock block{received_mutex};
+        std::atomic<bool> is_connected{false};
+        peer_socket receiver{[&](const protocol::Envelope&) {
+                                 is_connected = true;
+                                 const std::scoped_lock wait{received_mutex};
+                             },
+                             [](const error&) {}, queue_limit};
+        error why;
+        CPPUNIT_ASSERT(receiver.listen(address, why));
+        peer_socket sender{[](const protocol::Envelope&) {}, [](const error&) {}, queue_limit};
+        sender.connect(instance_name{"receiver"}, address);
+        protocol::Envelope message;
+        message.set_protocol_version(peer_protocol_version);
+        message.set_from(std::string(message_bytes, 'x'));
+        for (int i = 0; i < 500 && !is_connected; ++i) {
+            sender.send(instance_name{"receiver"}, message);
+            std::this_thread::sleep_for(std::chrono::milliseconds{10});
+        }
+        CPPUNIT_ASSERT(is_connected);
+        constexpr std::uint64_t count = 10'000;
+        for (std::uint64_t i = 0; i < count; ++i) {
+            sender.send(instance_name{"receiver"}, message);
+            std::this_thread::sleep_for(std::chrono::microseconds{20});
+        }
+        block.unlock();
+        CPPUNIT_ASSERT(sender.sent_bytes() < count * message_bytes / 4);
+    }
+
     /** @returns a connection to a socket's address that is still being opened */
     static int begin_connecting(const sockaddr_in& target) {
         const int connection = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
