The gateway with the largest link is preferred as holder

Cause: candidates were ordered by a hash only, so that with 2 of 14 gateways on 200 Mbit/s and 12 on 10 Mbit/s the holder, which sends to all others several times a second, mostly stood on a small link. Evidence: connection timeouts in the timeline: 44, 264, 164, 126 and 75 at holders on small machines, 19 at most elsewhere.

--- a/modules/gateway/include/lovageledge/gateway/gateway_settings.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway_settings.hpp
@@ -33,6 +33,8 @@
     selector_settings selector;
     planner_settings planner;
     succession_settings succession;
+    /** Bandwidth of this instance's network link, in Mbit/s; 0 if unknown. */
+    double link_mbps = 0.0;
     /** Interval of the heartbeats to the gateways of the same data centre. */
     duration state_interval = std::chrono::milliseconds{150};
     /** Longest wait for an adapter to load before another server is considered. */
--- a/modules/gateway/order_coordinator.cpp
+++ b/modules/gateway/order_coordinator.cpp
@@ -64,7 +64,8 @@
                 [this](const server_name& server, const adapter_ref& ref) {
                     planner_.on_used(server, ref, state_.now());
                 }},
-      planner_{state.settings.planner}, succession_{state.settings.name, state.settings.start,
+      planner_{state.settings.planner}, succession_{{state.settings.name, state.settings.start,
+                                                     state.settings.link_mbps},
                                                     state.settings.data_centre.text(),
                                                     state.settings.succession},
       plan_timer_{context} {
@@ -130,6 +131,7 @@
     record.set_start(state_.settings.start.text());
     record.set_peer_address(state_.settings.peer_address);
     record.set_data_centre(state_.settings.data_centre.text());
+    record.set_link_mbps(state_.settings.link_mbps);
     const std::string name = gateway_prefix + state_.settings.name.text();
     asio::steady_timer timer{context_};
     while (!is_stopped_) {
@@ -166,7 +168,8 @@
         const bool is_local_peer = data_centre_name{gateway.data_centre()} == state_.settings.data_centre &&
                                    instance_name{gateway.instance()} != state_.settings.name;
         if (is_local_peer) {
-            succession_.on_peer_listed(instance_name{gateway.instance()}, start_id{gateway.start()});
+            succession_.on_peer_listed(
+                {instance_name{gateway.instance()}, start_id{gateway.start()}, gateway.link_mbps()});
         }
         state_.retries.set_instances(instance_count());
     }
--- a/modules/serving/include/lovageledge/serving/order_succession.hpp
+++ b/modules/serving/include/lovageledge/serving/order_succession.hpp
@@ -22,6 +22,15 @@
     bool operator==(const order_domain_record&) const = default;
 };
 
+/** An instance that may hold an order domain. */
+struct order_candidate {
+    instance_name name;
+    start_id start;
+    /** Bandwidth of its network link, in Mbit/s; 0 if unknown. A holder sends much more than other instances,
+        so the one with the largest link is preferred. */
+    double link_mbps = 0.0;
+};
+
 /** Time limits of the succession of holders. */
 struct succession_settings {
     /** How long a confirmation entitles the holder to send orders, from when it was requested. */
@@ -70,7 +79,7 @@
     };
 
     /** @param key identifies the data centre in the order of the candidates */
-    order_succession(instance_name self, start_id start, std::string key, succession_settings settings);
+    order_succession(order_candidate self, std::string key, succession_settings settings);
 
     /** Starts to replace missing holders. Call this when all records have been read for the first time, and
         this instance is registered, so that others know that it must confirm the holder. */
@@ -81,7 +90,7 @@
     void end() { has_ended_ = true; }
 
     /** Adds or updates another instance of the data centre. */
-    void on_peer_listed(const instance_name& peer, const start_id& start);
+    void on_peer_listed(const order_candidate& peer);
     void on_peer_unlisted(const instance_name& peer) { peers_.erase(peer); }
     void on_peer_stopping(const instance_name& peer, bool is_stopping);
 
@@ -136,7 +145,7 @@
 
 private:
     struct peer_state {
-        start_id start;
+        order_candidate candidate;
         /** When the last heartbeat that the peer has confirmed was sent. */
         std::optional<time_point> confirmed_at;
         bool is_stopping = false;
@@ -150,9 +159,10 @@
     bool is_confirmed_within(duration limit, time_point now) const;
     bool is_holder_missing(time_point now) const;
     duration claim_delay() const;
+    /** @returns true if a peer should rather hold the domain than this instance */
+    bool is_preferred(const peer_state& peer) const;
 
-    instance_name self_;
-    start_id start_;
+    order_candidate self_;
     std::string key_;
     succession_settings settings_;
     std::map<instance_name, peer_state> peers_;
--- a/modules/serving/order_succession.cpp
+++ b/modules/serving/order_succession.cpp
@@ -5,9 +5,8 @@
 
 namespace lovageledge {
 
-order_succession::order_succession(instance_name self, start_id start, std::string key,
-                                   succession_settings settings)
-    : self_{std::move(self)}, start_{std::move(start)}, key_{std::move(key)}, settings_{settings} {}
+order_succession::order_succession(order_candidate self, std::string key, succession_settings settings)
+    : self_{std::move(self)}, key_{std::move(key)}, settings_{settings} {}
 
 void order_succession::start(time_point now) {
     has_started_ = true;
@@ -16,10 +15,10 @@
     holder_seen_at_ = now + settings_.holder_timeout;
 }
 
-void order_succession::on_peer_listed(const instance_name& peer, const start_id& start) {
-    peer_state& state = peers_[peer];
-    if (state.start != start) {
-        state = {start, std::nullopt, false};
+void order_succession::on_peer_listed(const order_candidate& peer) {
+    peer_state& state = peers_[peer.name];
+    if (state.candidate.start != peer.start) {
+        state = {peer, std::nullopt, false};
     }
 }
 
@@ -127,20 +126,25 @@
         return highest_fence_ > record_.fence && now - newer_fence_at_ >= settings_.holder_timeout;
     }
     // A former run of this instance has ended.
-    return record_.holder == self_ || now - holder_seen_at_ >= settings_.holder_timeout;
+    return record_.holder == self_.name || now - holder_seen_at_ >= settings_.holder_timeout;
+}
+
+bool order_succession::is_preferred(const peer_state& peer) const {
+    if (peer.is_stopping != is_stopping_) {
+        return is_stopping_;
+    }
+    if (peer.candidate.link_mbps != self_.link_mbps) {
+        return peer.candidate.link_mbps > self_.link_mbps;
+    }
+    return rendezvous_weight(key_, peer.candidate.name.text()) > rendezvous_weight(key_, self_.name.text());
 }
 
 duration order_succession::claim_delay() const {
-    if (record_.holder == self_) {
+    if (record_.holder == self_.name) {
         return duration::zero();
     }
-    const std::uint64_t own_weight = rendezvous_weight(key_, self_.text());
-    const auto preferred = std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
-        const auto& [name, peer] = entry;
-        const bool is_preferred = peer.is_stopping == is_stopping_
-                                      ? rendezvous_weight(key_, name.text()) > own_weight
-                                      : is_stopping_;
-        return is_preferred && name != record_.holder;
+    const auto preferred = std::count_if(peers_.begin(), peers_.end(), [this](const auto& entry) {
+        return is_preferred(entry.second) && entry.first != record_.holder;
     });
     return settings_.candidate_delay_step * preferred;
 }
@@ -154,11 +158,11 @@
     if (now < store_retry_at_ || now - *missing_since_ < claim_delay()) {
         return std::nullopt;
     }
-    const bool is_former_run = record_.holder == self_ && record_.start != start_;
+    const bool is_former_run = record_.holder == self_.name && record_.start != self_.start;
     const bool is_first = revision_ == 0 && highest_fence_ == 0;
     record_write write;
-    write.record.holder = self_;
-    write.record.start = start_;
+    write.record.holder = self_.name;
+    write.record.start = self_.start;
     write.record.fence = highest_fence_ + 1;
     write.record.has_predecessor_stopped =
         is_first || ((record_.holder.is_empty() || is_former_run) && record_.has_predecessor_stopped);
@@ -173,7 +177,7 @@
         return std::nullopt;
     }
     record_write write;
-    write.record.start = start_;
+    write.record.start = self_.start;
     write.record.fence = highest_fence_ + 1;
     // Before that, the lease of an earlier holder has not passed yet.
     write.record.has_predecessor_stopped = now >= orders_from_;
@@ -188,7 +192,7 @@
 }
 
 bool order_succession::is_recorded_as_holder() const {
-    return record_.holder == self_ && record_.start == start_;
+    return record_.holder == self_.name && record_.start == self_.start;
 }
 
 bool order_succession::holds_domain() const {
--- a/modules/serving/order_succession_test.cpp
+++ b/modules/serving/order_succession_test.cpp
@@ -15,10 +15,10 @@
 /** One instance of the data centre with the registration of its peers. */
 order_succession make_instance(const std::string& name, const std::vector<std::string>& peers,
                                succession_settings settings = {}, const std::string& run = "1") {
-    order_succession instance{instance_name{name}, start_id{run}, key, settings};
+    order_succession instance{{instance_name{name}, start_id{run}}, key, settings};
     for (const std::string& peer : peers) {
         if (peer != name) {
-            instance.on_peer_listed(instance_name{peer}, start_id{"1"});
+            instance.on_peer_listed({instance_name{peer}, start_id{"1"}});
         }
     }
     return instance;
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(stalled_instance_does_not_replace_the_holder);
     CPPUNIT_TEST(instance_that_has_ended_does_not_order);
     CPPUNIT_TEST(restarted_peer_is_a_candidate_again);
+    CPPUNIT_TEST(instance_with_the_largest_link_is_preferred);
     CPPUNIT_TEST(new_holder_that_is_not_heard_yet_is_not_replaced);
     CPPUNIT_TEST(holders_that_do_not_hear_each_other_do_not_order_in_turn);
     CPPUNIT_TEST(orders_of_two_holders_never_alternate_under_random_faults);
@@ -194,7 +195,7 @@
 
     void one_silent_peer_withholds_the_confirmation() {
         auto [a, b] = make_pair_with_holder();
-        a.on_peer_listed(instance_name{"c"}, start_id{"1"});
+        a.on_peer_listed({instance_name{"c"}, start_id{"1"}});
         const time_point now = start_ + seconds{4};
         send_heartbeat(a, "a", b, "b", now);
         CPPUNIT_ASSERT(!a.may_order(now));
@@ -210,7 +211,7 @@
 
     void holder_without_confirmation_is_replaced() {
         auto [a, b] = make_pair_with_holder();
-        a.on_peer_listed(instance_name{"c"}, start_id{"1"});
+        a.on_peer_listed({instance_name{"c"}, start_id{"1"}});
         const time_point from = start_ + seconds{5};
         for (time_point now = from; now < from + seconds{10}; now += milliseconds{150}) {
             b.tick(now);
@@ -342,12 +343,27 @@
         auto [a, b] = make_pair_with_holder();
         CPPUNIT_ASSERT(a.has_other_candidate());
         a.on_peer_stopping(instance_name{"b"}, true);
-        a.on_peer_listed(instance_name{"b"}, start_id{"1"});
+        a.on_peer_listed({instance_name{"b"}, start_id{"1"}});
         CPPUNIT_ASSERT(!a.has_other_candidate());
-        a.on_peer_listed(instance_name{"b"}, start_id{"2"});
+        a.on_peer_listed({instance_name{"b"}, start_id{"2"}});
         CPPUNIT_ASSERT(a.has_other_candidate());
     }
 
+    void instance_with_the_largest_link_is_preferred() {
+        for (const std::string& large : {"a", "b"}) {
+            const std::string small = large == "a" ? "b" : "a";
+            order_succession large_instance{{instance_name{large}, start_id{"1"}, 200.0}, key, settings_};
+            order_succession small_instance{{instance_name{small}, start_id{"1"}, 10.0}, key, settings_};
+            large_instance.on_peer_listed({instance_name{small}, start_id{"1"}, 10.0});
+            small_instance.on_peer_listed({instance_name{large}, start_id{"1"}, 200.0});
+            large_instance.start(start_);
+            small_instance.start(start_);
+            CPPUNIT_ASSERT(large_instance.next_claim(start_));
+            CPPUNIT_ASSERT(!small_instance.next_claim(start_));
+            CPPUNIT_ASSERT(small_instance.next_claim(start_ + settings_.candidate_delay_step));
+        }
+    }
+
     void new_holder_that_is_not_heard_yet_is_not_replaced() {
         auto [a, b] = make_pair_with_holder();
         const time_point claimed = tick_until_claim(b, start_ + seconds{3});
