--- a/modules/serving/order_succession_test.cpp
+++ b/modules/serving/order_succession_test.cpp
@@ -350,8 +350,9 @@
     }
 
     void instance_with_the_largest_link_is_preferred() {
-        for (const std::string& large : {"a", "b"}) {
-            const std::string small = large == "a" ? "b" : "a";
+        for (const bool is_first_large : {true, false}) {
+            const std::string large = is_first_large ? "a" : "b";
+            const std::string small = is_first_large ? "b" : "a";
             order_succession large_instance{{instance_name{large}, start_id{"1"}, 200.0}, key, settings_};
             order_succession small_instance{{instance_name{small}, start_id{"1"}, 10.0}, key, settings_};
             large_instance.on_peer_listed({instance_name{small}, start_id{"1"}, 10.0});
