Tests of the settings of order holders

Cause: order_lease_ms, servers_check_fences and link_mbps were read without a test. Change: two tests: values, and line and field of a flag that is neither true nor false.

--- a/modules/gateway/gateway_settings_test.cpp
+++ b/modules/gateway/gateway_settings_test.cpp
@@ -27,6 +27,8 @@
     CPPUNIT_TEST(reads_valid_settings);
     CPPUNIT_TEST(reports_line_and_field_of_an_error);
     CPPUNIT_TEST(rejects_unknown_fields);
+    CPPUNIT_TEST(reads_the_limits_of_order_holders);
+    CPPUNIT_TEST(reports_a_flag_that_is_neither_true_nor_false);
     CPPUNIT_TEST_SUITE_END();
 
     std::vector<std::string> errors_;
@@ -50,6 +52,30 @@
     void rejects_unknown_fields() {
         CPPUNIT_ASSERT(!parse_gateway_settings(valid_settings + "[policy]\nspeed = 1\n", errors_));
     }
+
+    /** @returns valid settings with more lines in section [bounds] */
+    static std::string settings_with_bounds(const std::string& lines) {
+        std::string text = valid_settings;
+        return text.insert(text.find("retry_extra"), lines);
+    }
+
+    void reads_the_limits_of_order_holders() {
+        const auto settings = parse_gateway_settings(
+            settings_with_bounds("order_lease_ms = 4500\nservers_check_fences = false\n") +
+                "[limits]\nlink_mbps = 10.0\n",
+            errors_);
+        CPPUNIT_ASSERT(settings);
+        CPPUNIT_ASSERT(settings->succession.order_lease == std::chrono::milliseconds{4500});
+        CPPUNIT_ASSERT(!settings->succession.servers_check_fences);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(10.0, settings->link_mbps, 1e-9);
+    }
+
+    void reports_a_flag_that_is_neither_true_nor_false() {
+        CPPUNIT_ASSERT(
+            !parse_gateway_settings(settings_with_bounds("servers_check_fences = yes\n"), errors_));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, errors_.size());
+        CPPUNIT_ASSERT(errors_.front() == "line 12, [bounds] servers_check_fences: expected true or false");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_settings_test);
