--- a/modules/transport/peer_socket_test.cpp
+++ b/modules/transport/peer_socket_test.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <atomic>
+#include <cerrno>
 #include <chrono>
 #include <cppunit/extensions/HelperMacros.h>
 #include <csignal>
@@ -98,7 +99,8 @@
     /** @returns a connection to a socket's address that is still being opened */
     static int begin_connecting(const sockaddr_in& target) {
         const int connection = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-        ::connect(connection, reinterpret_cast<const sockaddr*>(&target), sizeof target);
+        const int status = ::connect(connection, reinterpret_cast<const sockaddr*>(&target), sizeof target);
+        CPPUNIT_ASSERT(status == 0 || errno == EINPROGRESS);
         return connection;
     }
 
