--- a/modules/serving/order_succession_test.cpp
+++ b/modules/serving/order_succession_test.cpp
@@ -66,7 +66,7 @@
     CPPUNIT_TEST_SUITE_END();
 
     const time_point start_{seconds{100}};
-    const succession_settings settings_;
+    const succession_settings settings_{};
     simulated_record stored_;
 
     /** Makes an instance the holder by a write that is answered at once. */
