A refusal belongs to a request only if nothing else can have caused it

Cause: a response without a request id was taken as this request's refusal on any connection, and a second attempt of a request could be sent on the connection of the first.

Change: a refusal without an id counts on a connection that carried no other request; elsewhere it is skipped like any late response. An attempt never uses a connection that an earlier attempt of the same request used. A request without an id gets a new connection.

Test: tests/gateway/request_handler_test.cpp, the request path with real connections and scripted servers (tests/support). Before: the two tests of repeated refusals failed, the callers got 503; after: they pass.

--- a/modules/gateway/connection_pool.cpp
+++ b/modules/gateway/connection_pool.cpp
@@ -1,5 +1,7 @@
 #include "lovageledge/gateway/connection_pool.hpp"
 
+#include <algorithm>
+
 namespace lovageledge {
 namespace {
 
@@ -8,8 +10,9 @@
 
 } // namespace
 
-std::shared_ptr<forwarding_connection> connection_pool::acquire(const server_listing& server,
-                                                                duration max_idle_time, time_point now) {
+std::shared_ptr<forwarding_connection>
+connection_pool::acquire(const server_listing& server, duration max_idle_time, time_point now,
+                         const std::vector<std::shared_ptr<forwarding_connection>>& excluded) {
     const auto entry = idle_.find(server.name);
     if (entry == idle_.end()) {
         return nullptr;
@@ -19,15 +22,22 @@
         return nullptr;
     }
     auto& connections = entry->second.connections;
-    while (!connections.empty()) {
-        auto connection = std::move(connections.back());
-        connections.pop_back();
+    const auto is_excluded = [&](const auto& connection) {
+        return std::find(excluded.begin(), excluded.end(), connection) != excluded.end();
+    };
+    while (true) {
+        // The most recently used connection first.
+        const auto found = std::find_if_not(connections.rbegin(), connections.rend(), is_excluded);
+        if (found == connections.rend()) {
+            return nullptr;
+        }
+        auto connection = std::move(*found);
+        connections.erase(std::prev(found.base()));
         if (now - connection->idle_since() <= max_idle_time && connection->is_reusable(now)) {
             return connection;
         }
         connection->abort();
     }
-    return nullptr;
 }
 
 void connection_pool::release(const server_listing& server, std::shared_ptr<forwarding_connection> connection,
--- a/modules/gateway/include/lovageledge/gateway/connection_pool.hpp
+++ b/modules/gateway/include/lovageledge/gateway/connection_pool.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <vector>
 
 namespace lovageledge {
 
@@ -19,9 +20,11 @@
 public:
     /** Removes a usable idle connection from the pool.
         @param max_idle_time connections that were idle for longer are closed
+        @param excluded connections that are left in the pool
         @returns nullptr if there is none */
-    std::shared_ptr<forwarding_connection> acquire(const server_listing& server, duration max_idle_time,
-                                                   time_point now);
+    std::shared_ptr<forwarding_connection>
+    acquire(const server_listing& server, duration max_idle_time, time_point now,
+            const std::vector<std::shared_ptr<forwarding_connection>>& excluded = {});
     /** Returns a connection to the pool, or closes it if it can't be kept alive.
         Precondition: the response was read to its end. */
     void release(const server_listing& server, std::shared_ptr<forwarding_connection> connection,
--- a/modules/gateway/include/lovageledge/gateway/request_handler.hpp
+++ b/modules/gateway/include/lovageledge/gateway/request_handler.hpp
@@ -46,6 +46,8 @@
     };
 
     bool has_unambiguous_framing() const;
+    /** @returns true if a response certainly belongs to the request that was last sent on a connection */
+    bool is_response_to(const forwarding_connection& connection, const response_attributes& attributes) const;
     /** Matches the route and derives the work item from it. @returns false if no route matches */
     bool resolve_route();
     asio::awaitable<void> run_attempts();
@@ -54,7 +56,8 @@
     asio::awaitable<attempt_outcome> exchange_with_server(backend& server,
                                                           std::shared_ptr<forwarding_connection> connection);
     asio::awaitable<std::shared_ptr<forwarding_connection>> connect(const backend& server);
-    /** Reads the head of the response to this request, skipping late responses to earlier ones. */
+    /** Reads the head of the response to this attempt, skipping late or repeated responses to earlier
+        requests. */
     asio::awaitable<std::optional<response_head>>
     read_matching_head(const std::shared_ptr<forwarding_connection>& connection, time_point limit,
                        response_attributes& attributes);
@@ -106,6 +109,9 @@
     /** Servers that refused this request because they did not hold the adapter. */
     std::set<server_name> servers_lacking_weights_;
     std::shared_ptr<forwarding_connection> connection_;
+    /** Connections on which this request was sent. It is not sent on one of them again, because a repeated
+        response to the earlier attempt would carry the same request id. */
+    std::vector<std::shared_ptr<forwarding_connection>> used_connections_;
     event_framer framer_;
     std::optional<std::string> resume_after_;
     bool has_stream_started_ = false;
--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -280,7 +280,9 @@
     const server_listing listing = server.listing;
     const duration limit =
         route_->is_idempotent() ? duration{max_idle_time} : duration{max_idle_time_non_idempotent};
-    if (auto pooled = pool_.acquire(listing, limit, state_.now())) {
+    // A response without a request id can only be matched on a connection that carried no other request.
+    const bool may_reuse = !attributes_.id.text().empty();
+    if (auto pooled = may_reuse ? pool_.acquire(listing, limit, state_.now(), used_connections_) : nullptr) {
         co_return pooled;
     }
     auto connection = std::make_shared<forwarding_connection>(co_await asio::this_coro::executor);
@@ -342,6 +344,7 @@
         co_return attempt_outcome::finished;
     }
     connection->send(make_request_head(server), exchange_.body());
+    used_connections_.push_back(connection);
     state_.directory.on_sent(listing.name, state_.now());
     time_point limit = deadline_;
     if (route_->is_idempotent() && possible_runs_ + 1 < route_->max_attempts) {
@@ -390,6 +393,14 @@
     co_return result;
 }
 
+bool request_handler::is_response_to(const forwarding_connection& connection,
+                                     const response_attributes& attributes) const {
+    if (attributes.id) {
+        return *attributes.id == attributes_.id;
+    }
+    return attributes.is_not_run && connection.sent_requests() == 1;
+}
+
 asio::awaitable<std::optional<response_head>>
 request_handler::read_matching_head(const std::shared_ptr<forwarding_connection>& connection,
                                     time_point limit, response_attributes& attributes) {
@@ -401,11 +412,10 @@
             co_return std::nullopt;
         }
         attributes = state_.codec.read_response(*head);
-        const bool matches_request = attributes.id ? *attributes.id == attributes_.id : attributes.is_not_run;
-        if (matches_request) {
+        if (is_response_to(*connection, attributes)) {
             co_return head;
         }
-        // A late response to an earlier request on this connection; the one to this request is still to come.
+        // A late or repeated response to an earlier request; the one to this request is still to come.
         std::optional<std::string_view> part;
         do {
             part = co_await connection->read_some(limit, failure);
--- a/modules/transport/forwarding_connection.cpp
+++ b/modules/transport/forwarding_connection.cpp
@@ -90,7 +90,7 @@
     request_head_ = std::move(head);
     request_body_ = std::move(body);
     is_writing_ = true;
-    has_received_ = false;
+    ++sent_requests_;
     const std::array<asio::const_buffer, 2> buffers{asio::buffer(request_head_), asio::buffer(request_body_)};
     stream_.expires_never();
     asio::async_write(stream_, buffers,
@@ -132,7 +132,6 @@
     boost::system::error_code code;
     co_await http::async_read_header(stream_, buffer_, *parser_,
                                      asio::redirect_error(asio::use_awaitable, code));
-    has_received_ = has_received_ || parser_->got_some();
     if (code) {
         abort_with_error("http.read", code, why);
         co_return std::nullopt;
--- a/modules/transport/include/lovageledge/transport/forwarding_connection.hpp
+++ b/modules/transport/include/lovageledge/transport/forwarding_connection.hpp
@@ -60,8 +60,8 @@
     /** Sets the time from which the connection has been idle. */
     void set_idle_since(time_point now) { idle_since_ = now; }
     time_point idle_since() const { return idle_since_; }
-    /** @returns true if any byte of the current response was received */
-    bool has_received() const { return has_received_; }
+    /** @returns the number of requests that were sent on this connection */
+    std::uint32_t sent_requests() const { return sent_requests_; }
 
 private:
     void abort_with_error(const char* step, const boost::system::error_code& code, error& why);
@@ -78,9 +78,9 @@
     std::string request_body_;
     time_point idle_since_{};
     duration idle_limit_{};
+    std::uint32_t sent_requests_ = 0;
     bool is_writing_ = false;
     bool is_aborted_ = false;
-    bool has_received_ = false;
 };
 
 } // namespace lovageledge
--- /dev/null
+++ b/tests/gateway/request_handler_test.cpp
@@ -0,0 +1,506 @@
+#include "lovageledge/gateway/request_handler.hpp"
+
+#include "lovageledge/platform/wire_decoder.hpp"
+#include "scripted_server.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <spdlog/fmt/fmt.h>
+#include <thread>
+
+namespace lovageledge {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Returns the value of the request's id header, which its responses repeat. */
+std::string id_of(const std::string& message) {
+    const std::string name = "X-Request-Id: ";
+    const std::size_t start = message.find(name);
+    return message.substr(start + name.size(), message.find('\r', start) - start - name.size());
+}
+
+std::string response(const std::string& status, const std::string& headers, const std::string& body) {
+    return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+std::string id_header(const std::string& id) {
+    return "X-Request-Id: " + id + "\r\n";
+}
+
+std::string chunk(const std::string& bytes) {
+    return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
+}
+
+std::string event(int id) {
+    return fmt::format("id: {}\ndata: e{}\n\n", id, id);
+}
+
+const std::string stream_end = "0\r\n\r\n";
+
+std::string stream_head(const std::string& id, const std::string& headers = "") {
+    return "HTTP/1.1 200 OK\r\n" + id_header(id) + headers +
+           "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+/** A gateway's request path with real connections; the servers are scripted. */
+class request_handler_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(request_handler_test);
+    CPPUNIT_TEST(refusal_without_id_on_a_kept_connection_is_not_taken_for_this_request);
+    CPPUNIT_TEST(refusal_without_id_is_accepted_on_a_new_connection);
+    CPPUNIT_TEST(repeated_refusal_of_an_earlier_attempt_is_not_taken_for_the_next_one);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr const char* plain_path = "/plain/";
+    static constexpr const char* once_path = "/once/";
+    static constexpr const char* stream_path = "/stream/";
+
+    /** The gateway under test. All of it is used on the thread of run(). */
+    struct gateway_under_test {
+        asio::io_context context;
+        gateway_state state;
+        order_coordinator coordinator{context, state};
+        connection_pool pool;
+        http_server callers;
+        std::thread thread;
+
+        explicit gateway_under_test(gateway_settings settings)
+            : state{std::move(settings), platform::make_wire_codec(), platform_port{}},
+              callers{context, http_limits{}, [this](http_exchange& exchange) { return serve(exchange); }} {
+            error why;
+            CPPUNIT_ASSERT(callers.listen("127.0.0.1:0", why));
+        }
+        gateway_under_test(const gateway_under_test&) = delete;
+        gateway_under_test& operator=(const gateway_under_test&) = delete;
+        ~gateway_under_test() { stop(); }
+
+        asio::awaitable<void> serve(http_exchange& exchange) {
+            const auto handler = std::make_shared<request_handler>(state, coordinator, pool, exchange);
+            co_await handler->run();
+        }
+        void run() {
+            thread = std::thread{[this] { context.run(); }};
+        }
+        void stop() {
+            context.stop();
+            if (thread.joinable()) {
+                thread.join();
+            }
+        }
+        void configure() {
+            traffic_configuration configuration;
+            configuration.version = 1;
+            route_rule once = make_route(once_path, request_kind::stream);
+            once.is_resumable = false;
+            configuration.routes = {make_route(plain_path, request_kind::unsafe),
+                                    make_route(stream_path, request_kind::stream), once};
+            service_spec service;
+            service.name = pool_name{"pool"};
+            service.engine = engine_spec{};
+            service.engine->adapter_slots = 4;
+            configuration.services = {service};
+            state.routes = std::make_shared<const route_table>(std::move(configuration));
+        }
+        static route_rule make_route(const std::string& path, request_kind kind) {
+            route_rule route;
+            route.name = path;
+            route.host = "test";
+            route.path_prefix = path;
+            route.kind = kind;
+            route.timeout = std::chrono::seconds{5};
+            route.latency_target = std::chrono::seconds{1};
+            route.max_attempts = 3;
+            route.is_resumable = kind == request_kind::stream;
+            route.services = {{pool_name{"pool"}, 1}};
+            return route;
+        }
+        void add_server(const scripted_server& server, const std::string& name = "server") {
+            server_listing entry;
+            entry.name = server_name{name};
+            entry.service = pool_name{"pool"};
+            entry.address = server.address();
+            entry.zone = state.settings.data_centre;
+            entry.slots = 4;
+            entry.started_at = 1;
+            entry.weights.models["base"] = 1;
+            entry.weights.adapters[{"base", "a1"}] = 1;
+            state.directory.on_listed(entry, state.now());
+        }
+    };
+
+    static gateway_settings settings() {
+        gateway_settings result;
+        result.name = instance_name{"gateway"};
+        result.start = start_id{"1"};
+        result.data_centre = data_centre_name{"here"};
+        result.retries.extra = 100;
+        return result;
+    }
+
+    asio::io_context caller_context_;
+    std::unique_ptr<gateway_under_test> gateway_;
+
+    void start(const std::vector<const scripted_server*>& servers) {
+        gateway_ = std::make_unique<gateway_under_test>(settings());
+        gateway_->configure();
+        for (std::size_t i = 0; i < servers.size(); ++i) {
+            gateway_->add_server(*servers[i], "server-" + std::to_string(i + 1));
+        }
+        gateway_->run();
+    }
+
+    static std::string make_request(const std::string& path, const std::string& id, int deadline_ms,
+                                    bool keeps_alive) {
+        return fmt::format("POST {} HTTP/1.1\r\nHost: test\r\n{}{}X-Deadline-Ms: {}\r\nX-Model: base/a1\r\n"
+                           "Content-Length: 0\r\n\r\n",
+                           path, keeps_alive ? "" : "Connection: close\r\n", id_header(id), deadline_ms);
+    }
+
+    /** Sends a request on a new connection. @returns everything that the gateway answers until it closes */
+    std::string request(const std::string& path, const std::string& id, int deadline_ms = 3000) {
+        blocking_connection caller = connect_to(caller_context_, gateway_->callers.port());
+        caller.write(make_request(path, id, deadline_ms, false));
+        return caller.read_all();
+    }
+
+    static bool has_status(const std::string& answer, int status) {
+        return answer.rfind("HTTP/1.1 " + std::to_string(status), 0) == 0;
+    }
+
+public:
+    void tearDown() override { gateway_.reset(); }
+
+    void refusal_without_id_on_a_kept_connection_is_not_taken_for_this_request() {
+        const std::string refusal = response("503 Full", "X-Not-Executed: 1\r\n", "");
+        scripted_server server{[&](blocking_connection& connection, int) {
+            connection.write((connection.read_message(), response("200 OK", id_header("1"), "first")));
+            const std::string second = connection.read_message();
+            if (!second.empty()) {
+                connection.write(refusal + response("200 OK", id_header(id_of(second)), "second"));
+                connection.read_message();
+            }
+        }};
+        start({&server});
+        CPPUNIT_ASSERT(has_status(request(plain_path, "1"), 200));
+        const std::string answer = request(plain_path, "2");
+        CPPUNIT_ASSERT_EQUAL(1, server.connections());
+        CPPUNIT_ASSERT_MESSAGE(answer, has_status(answer, 200));
+        CPPUNIT_ASSERT(answer.ends_with("second"));
+    }
+
+    void refusal_without_id_is_accepted_on_a_new_connection() {
+        scripted_server server{[&](blocking_connection& connection, int) {
+            connection.read_message();
+            connection.write(response("503 Full", "X-Not-Executed: 1\r\n", ""));
+            connection.read_message();
+        }};
+        start({&server});
+        CPPUNIT_ASSERT(has_status(request(plain_path, "1"), 503));
+    }
+
+    // The server lacks the adapter at first. The second attempt of the same request carries the same id, so a
+    // repetition of the first answer could not be told from the second one's on the same connection.
+    void repeated_refusal_of_an_earlier_attempt_is_not_taken_for_the_next_one() {
+        scripted_server server{[&](blocking_connection& connection, int number) {
+            const std::string first = connection.read_message();
+            const std::string refusal = response("421 Missing", id_header("1"), "");
+            if (number == 1) {
+                asio::post(gateway_->context, [this] { restore_adapter_later(); });
+                connection.write(refusal);
+            } else {
+                connection.write(response("200 OK", id_header(id_of(first)), "ran"));
+            }
+            if (!connection.read_message().empty()) {
+                connection.write(refusal + response("200 OK", id_header("1"), "ran"));
+                connection.read_message();
+            }
+        }};
+        start({&server});
+        const std::string answer = request(plain_path, "1");
+        CPPUNIT_ASSERT_MESSAGE(answer, has_status(answer, 200));
+        CPPUNIT_ASSERT_EQUAL(2, server.connections());
+    }
+
+    void interim_responses_are_skipped() {
+        scripted_server server{[&](blocking_connection& connection, int) {
+            connection.read_message();
+            connection.write("HTTP/1.1 100 Continue\r\n\r\n" + response("200 OK", id_header("1"), "final"));
+            connection.read_message();
+        }};
+        start({&server});
+        const std::string answer = request(plain_path, "1");
+        CPPUNIT_ASSERT_MESSAGE(answer, has_status(answer, 200));
+    }
+
+    // Callers take 408, 421, 429 and 503 as a promise that the request has not run.
+    void unstated_503_of_a_server_that_may_have_run_the_request_is_not_passed_on() {
+        scripted_server server{[&](blocking_connection& connection, int) {
+            connection.read_message();
+            connection.write(response("503 Broken", id_header("1"), "failed while it ran"));
+            connection.read_message();
+        }};
+        start({&server});
+        const std::string answer = request(plain_path, "1");
+        CPPUNIT_ASSERT_MESSAGE(answer, has_status(answer, 502));
+    }
+
+    void error_after_a_broken_stream_does_not_reach_the_caller() {
+        for (const char* status : {"500 Broken", "400 Bad"}) {
+            const auto answer = resume_with([&](blocking_connection& connection, const std::string& id) {
+                connection.write(response(status, id_header(id), "error text"));
+            });
+            CPPUNIT_ASSERT_MESSAGE(answer, answer.find("error text") == std::string::npos);
+            assert_broken_off(answer, 2);
+        }
+    }
+
+    void resumed_stream_that_starts_again_is_not_joined() {
+        assert_broken_off(resume_with([](blocking_connection& connection, const std::string& id) {
+                              connection.write(stream_head(id) + chunk(event(1)) + chunk(event(2)) +
+                                               chunk(event(3)) + stream_end);
+                          }),
+                          2);
+    }
+
+    void resumed_stream_that_skips_an_event_is_not_joined() {
+        assert_broken_off(resume_with([](blocking_connection& connection, const std::string& id) {
+                              connection.write(stream_head(id) + chunk(event(4)) + stream_end);
+                          }),
+                          2);
+    }
+
+    void resumed_stream_with_a_length_must_continue_as_well() {
+        assert_broken_off(resume_with([](blocking_connection& connection, const std::string& id) {
+                              connection.write(
+                                  response("200 OK", id_header(id), event(1) + event(2) + event(3)));
+                          }),
+                          2);
+    }
+
+    void broken_stream_is_resumed_after_its_last_event() {
+        const std::string answer = resume_with([](blocking_connection& connection, const std::string& id) {
+            connection.write(stream_head(id) + chunk(event(3)) + chunk(event(4)) + stream_end);
+        });
+        CPPUNIT_ASSERT_EQUAL(1, count(answer, "HTTP/1.1"));
+        CPPUNIT_ASSERT_EQUAL(4, count(answer, "id: "));
+        CPPUNIT_ASSERT(answer.ends_with(stream_end));
+    }
+
+    void stream_that_trickles_without_events_is_resumed_elsewhere() {
+        scripted_server server{[&](blocking_connection& connection, int number) {
+            const std::string head = connection.read_message();
+            connection.write(stream_head("1"));
+            if (number > 1) {
+                connection.write(chunk(event(2)) + stream_end);
+                connection.read_message();
+                return;
+            }
+            connection.write(chunk(event(1)));
+            while (connection.write(chunk(":"))) {
+                std::this_thread::sleep_for(milliseconds{50});
+            }
+        }};
+        start({&server, &server});
+        const std::string answer = request(stream_path, "1", 5000);
+        CPPUNIT_ASSERT_EQUAL(2, server.connections());
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with(stream_end));
+    }
+
+    void slow_stream_that_cannot_be_resumed_is_not_cut() {
+        scripted_server server{[&](blocking_connection& connection, int) {
+            connection.read_message();
+            connection.write(stream_head("1") + chunk(event(1)));
+            std::this_thread::sleep_for(milliseconds{2800});
+            connection.write(chunk(event(2)) + stream_end);
+            connection.read_message();
+        }};
+        start({&server});
+        const std::string answer = request(once_path, "1", 5000);
+        CPPUNIT_ASSERT_EQUAL(1, server.connections());
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with(stream_end));
+    }
+
+    // The gateway did not run while the request arrived and its caller left, as after a freeze.
+    void request_of_a_caller_that_is_gone_is_not_sent() {
+        std::atomic<int> received{0};
+        scripted_server server{[&](blocking_connection& connection, int) {
+            for (std::string head; !(head = connection.read_message()).empty();) {
+                ++received;
+                connection.write(response("200 OK", id_header(id_of(head)), "ran"));
+            }
+        }};
+        start({&server});
+        CPPUNIT_ASSERT(has_status(request(plain_path, "1"), 200));
+        blocking_connection caller = connect_to(caller_context_, gateway_->callers.port());
+        caller.write(make_request(plain_path, "2", 3000, true));
+        caller.read_message();
+        asio::post(gateway_->context, [] { std::this_thread::sleep_for(milliseconds{300}); });
+        std::this_thread::sleep_for(milliseconds{50});
+        caller.write(make_request(plain_path, "3", 3000, true));
+        std::this_thread::sleep_for(milliseconds{50});
+        caller.close();
+        std::this_thread::sleep_for(milliseconds{400});
+        CPPUNIT_ASSERT_EQUAL(2, received.load());
+    }
+
+    void server_that_announces_its_leaving_gets_no_further_request() {
+        std::atomic<int> received{0};
+        const auto run = [&](const std::string& headers) {
+            return [&received, headers](blocking_connection& connection, int) {
+                for (std::string head; !(head = connection.read_message()).empty();) {
+                    received += headers.empty() ? 0 : 1;
+                    connection.write(response("200 OK", id_header(id_of(head)) + headers, "ran"));
+                }
+            };
+        };
+        scripted_server leaving{run("Server-Leaving: 1\r\n")};
+        scripted_server staying{run("")};
+        start({&leaving, &staying});
+        for (int i = 0; i < 30; ++i) {
+            CPPUNIT_ASSERT(has_status(request(plain_path, std::to_string(i)), 200));
+        }
+        CPPUNIT_ASSERT(received <= 1);
+    }
+
+    void leaving_is_noticed_in_refusals_and_stream_heads() {
+        for (const bool is_stream : {false, true}) {
+            scripted_server server{[&](blocking_connection& connection, int) {
+                const std::string id = id_of(connection.read_message());
+                connection.write(
+                    is_stream ? stream_head(id, "Server-Leaving: 1\r\n") + chunk(event(1)) + stream_end
+                              : response("503 Full",
+                                         id_header(id) + "X-Not-Executed: 1\r\nServer-Leaving: 1\r\n", ""));
+                connection.read_message();
+            }};
+            start({&server});
+            request(stream_path, "1");
+            CPPUNIT_ASSERT(has_status(request(stream_path, "2"), 503));
+            CPPUNIT_ASSERT_EQUAL(1, server.connections());
+            gateway_.reset();
+        }
+    }
+
+    void server_that_asks_for_a_pause_gets_no_request_until_it_ends() {
+        std::atomic<int> received{0};
+        scripted_server pausing{[&](blocking_connection& connection, int) {
+            for (std::string head; !(head = connection.read_message()).empty();) {
+                const bool is_first = received++ == 0;
+                connection.write(is_first ? pause_answer(id_of(head), "0.8")
+                                          : response("200 OK", id_header(id_of(head)), "ran"));
+            }
+        }};
+        scripted_server other{[&](blocking_connection& connection, int) {
+            for (std::string head; !(head = connection.read_message()).empty();) {
+                connection.write(response("200 OK", id_header(id_of(head)), "ran"));
+            }
+        }};
+        start({&pausing, &other});
+        for (int i = 0; received == 0; ++i) {
+            CPPUNIT_ASSERT(has_status(request(plain_path, std::to_string(i)), 200));
+        }
+        for (int i = 0; i < 30; ++i) {
+            CPPUNIT_ASSERT(has_status(request(plain_path, "a" + std::to_string(i)), 200));
+            std::this_thread::sleep_for(milliseconds{15});
+        }
+        CPPUNIT_ASSERT_EQUAL(1, received.load());
+        std::this_thread::sleep_for(milliseconds{1200});
+        for (int i = 0; i < 60; ++i) {
+            CPPUNIT_ASSERT(has_status(request(plain_path, "b" + std::to_string(i)), 200));
+        }
+        CPPUNIT_ASSERT(received > 1);
+    }
+
+    void request_is_refused_until_the_pause_of_the_only_server_ends() {
+        scripted_server server{[&](blocking_connection& connection, int) {
+            for (std::string head; !(head = connection.read_message()).empty();) {
+                connection.write(pause_answer(id_of(head), "60"));
+            }
+        }};
+        start({&server});
+        request(plain_path, "1");
+        const time_point sent = gateway_->state.now();
+        const std::string answer = request(plain_path, "2");
+        CPPUNIT_ASSERT(has_status(answer, 503));
+        CPPUNIT_ASSERT(gateway_->state.now() - sent < milliseconds{500});
+        const std::size_t field = answer.find("Retry-After: ");
+        CPPUNIT_ASSERT(field != std::string::npos && std::stod(answer.substr(field + 13)) > 59.0);
+    }
+
+    void short_pause_of_the_only_server_is_waited_for() {
+        std::atomic<int> received{0};
+        scripted_server server{[&](blocking_connection& connection, int) {
+            for (std::string head; !(head = connection.read_message()).empty();) {
+                connection.write(received++ == 0 ? pause_answer(id_of(head), "0.2")
+                                                 : response("200 OK", id_header(id_of(head)), "ran"));
+            }
+        }};
+        start({&server});
+        const std::string answer = request(plain_path, "1");
+        CPPUNIT_ASSERT_MESSAGE(answer, has_status(answer, 200));
+        CPPUNIT_ASSERT_EQUAL(2, received.load());
+    }
+
+private:
+    using resuming_script = std::function<void(blocking_connection& connection, const std::string& id)>;
+
+    static std::string pause_answer(const std::string& id, const std::string& seconds) {
+        return response("503 Full", id_header(id) + "X-Not-Executed: 1\r\nRetry-After: " + seconds + "\r\n",
+                        "");
+    }
+
+    static int count(const std::string& text, const std::string& part) {
+        int found = 0;
+        for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
+            ++found;
+        }
+        return found;
+    }
+
+    /** Breaks a stream off after two events, and lets a script answer all further attempts.
+        @returns all that the caller received */
+    std::string resume_with(const resuming_script& script) {
+        std::atomic<int> attempts{0};
+        const auto run = [&](blocking_connection& connection, int) {
+            const std::string id = id_of(connection.read_message());
+            if (++attempts == 1) {
+                connection.write(stream_head(id) + chunk(event(1)) + chunk(event(2)) + chunk("id: 3\nda"));
+                std::this_thread::sleep_for(milliseconds{50});
+                connection.reset();
+                return;
+            }
+            script(connection, id);
+            connection.read_message();
+        };
+        scripted_server first{run};
+        scripted_server second{run};
+        scripted_server third{run};
+        start({&first, &second, &third});
+        std::string answer = request(stream_path, "7");
+        gateway_.reset();
+        return answer;
+    }
+
+    /** Checks that the caller received some events of a stream, and nothing that looks like its end. */
+    static void assert_broken_off(const std::string& answer, int events) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(answer, 1, count(answer, "HTTP/1.1"));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(answer, events, count(answer, "id: "));
+        CPPUNIT_ASSERT_MESSAGE(answer, !answer.ends_with(stream_end));
+    }
+
+    void restore_adapter_later() {
+        auto timer = std::make_shared<asio::steady_timer>(gateway_->context, milliseconds{100});
+        timer->async_wait([this, timer](boost::system::error_code) {
+            held_weights weights;
+            weights.models["base"] = 1;
+            weights.adapters[{"base", "a1"}] = 1;
+            gateway_->state.directory.on_weights_reported(server_name{"server-1"}, 1, 1, weights,
+                                                          gateway_->state.now());
+            gateway_->coordinator.on_servers_changed();
+        });
+    }
+};
+
+} // namespace
+} // namespace lovageledge
+
+CPPUNIT_TEST_SUITE_REGISTRATION(lovageledge::request_handler_test);
