Interim responses are skipped

Cause: a response of the 1xx class was taken for a final one that belongs to another request without a length, so the attempt ended as unknown.

Change: heads of the 1xx class are skipped.

Test: interim_responses_are_skipped failed before with 502, passes now.

--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -411,6 +411,9 @@
             last_error_ = failure.text();
             co_return std::nullopt;
         }
+        if (head->is_interim()) {
+            continue;
+        }
         attributes = state_.codec.read_response(*head);
         if (is_response_to(*connection, attributes)) {
             co_return head;
--- a/modules/transport/include/lovageledge/transport/forwarding_connection.hpp
+++ b/modules/transport/include/lovageledge/transport/forwarding_connection.hpp
@@ -19,6 +19,8 @@
     std::optional<std::uint64_t> content_length;
     bool is_chunked = false;
 
+    /** @returns true if another head, the one of the final response, follows */
+    bool is_interim() const { return status >= 100 && status < 200; }
     /** @returns the value of the first header with this name, or nothing. @param name case-insensitive */
     std::optional<std::string_view> header(std::string_view name) const;
 };
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(refusal_without_id_on_a_kept_connection_is_not_taken_for_this_request);
     CPPUNIT_TEST(refusal_without_id_is_accepted_on_a_new_connection);
     CPPUNIT_TEST(repeated_refusal_of_an_earlier_attempt_is_not_taken_for_the_next_one);
+    CPPUNIT_TEST(interim_responses_are_skipped);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* plain_path = "/plain/";
