A server's 503 without the statement "not run" is not passed on as one

Cause: callers take 408, 421, 429 and 503 as the promise that a request has not run. A server that failed while it ran a request may answer 503 without stating that it did not run it; the gateway passed the status on.

Change: for a request that may run only once, such an answer becomes 502, "may have run" (guarantees_not_run in unserved_status). Idempotent requests get it as it is.

Conclusion: after a lost or doubtful answer no caller is told that the request has not run.

--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -503,6 +503,11 @@
         error_response_body_ = std::move(body);
         co_return attempt_outcome::failed;
     }
+    if (guarantees_not_run(head.status) && !route_->is_idempotent()) {
+        // The server did not state that it has not run the request, as the caller would understand it.
+        last_error_ = fmt::format("server answered {} without stating that the request has not run", head.status);
+        co_return attempt_outcome::unknown;
+    }
     co_await exchange_.send_forwarded_response(head.status, forwarded_headers(head), std::move(body));
     log_finished(head.status, head.status < 400 ? "done" : "failed");
     co_return attempt_outcome::finished;
--- a/modules/serving/include/lovageledge/serving/unserved_status.hpp
+++ b/modules/serving/include/lovageledge/serving/unserved_status.hpp
@@ -32,4 +32,8 @@
 */
 unserved_status choose_unserved_status(const unserved_request& request);
 
+/** @returns true if callers take the status as the guarantee that the request has not run and never will, so
+    that they send it again. Thread-safe. */
+bool guarantees_not_run(unsigned status);
+
 } // namespace lovageledge
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST(refusal_without_id_is_accepted_on_a_new_connection);
     CPPUNIT_TEST(repeated_refusal_of_an_earlier_attempt_is_not_taken_for_the_next_one);
     CPPUNIT_TEST(interim_responses_are_skipped);
+    CPPUNIT_TEST(unstated_503_of_a_server_that_may_have_run_the_request_is_not_passed_on);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* plain_path = "/plain/";
