Only the same stream may follow once a stream has begun

A stalled server that sent a byte now and then was never given up, since every byte counted as progress.

Change: event_framer joins the runs of a stream: the first event of a resumed run must follow the last one, by its id and the largest step seen; everything else breaks the attempt. Another answer than success is dropped and the stream is resumed elsewhere or aborted. Progress is a complete event.

A stream that can't be resumed is bounded by its deadline only, by design.

--- a/modules/gateway/include/lovageledge/gateway/request_handler.hpp
+++ b/modules/gateway/include/lovageledge/gateway/request_handler.hpp
@@ -65,6 +65,10 @@
     forward_buffered(const std::shared_ptr<forwarding_connection>& connection, response_head head);
     asio::awaitable<attempt_outcome> forward_stream(const std::shared_ptr<forwarding_connection>& connection,
                                                     response_head head);
+    /** Decides what follows after a server's stream broke off or did not continue the caller's stream. */
+    asio::awaitable<attempt_outcome>
+    on_stream_broken(const std::shared_ptr<forwarding_connection>& connection, const std::string& reason,
+                     bool is_resumable);
     asio::awaitable<attempt_outcome> abort_stream();
     attempt_outcome on_not_run_response(const server_name& server, const response_head& head,
                                         const response_attributes& attributes);
--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -381,8 +381,14 @@
         co_return result;
     }
     ++possible_runs_;
-    state_.directory.on_success(listing.name);
     const bool is_success = head->status >= 200 && head->status < 300;
+    if (has_stream_started_ && !is_success) {
+        // The caller is in the middle of the stream, so that no other response may follow.
+        last_error_ = fmt::format("server answered {} instead of resuming the stream", head->status);
+        connection->abort();
+        co_return attempt_outcome::stream_interrupted;
+    }
+    state_.directory.on_success(listing.name);
     attempt_outcome result = attempt_outcome::finished;
     if (route_->kind == request_kind::stream && is_success) {
         result = co_await forward_stream(connection, *head);
@@ -505,7 +511,8 @@
     }
     if (guarantees_not_run(head.status) && !route_->is_idempotent()) {
         // The server did not state that it has not run the request, as the caller would understand it.
-        last_error_ = fmt::format("server answered {} without stating that the request has not run", head.status);
+        last_error_ =
+            fmt::format("server answered {} without stating that the request has not run", head.status);
         co_return attempt_outcome::unknown;
     }
     co_await exchange_.send_forwarded_response(head.status, forwarded_headers(head), std::move(body));
@@ -516,37 +523,31 @@
 asio::awaitable<request_handler::attempt_outcome>
 request_handler::forward_stream(const std::shared_ptr<forwarding_connection>& connection,
                                 response_head head) {
-    const bool is_resumable = route_->is_idempotent() && head.is_chunked;
+    const bool is_resumable = route_->is_idempotent() && (head.is_chunked || has_stream_started_);
+    framer_.begin_run();
+    // Only complete events count as progress: a stalled server may still send a byte now and then.
+    time_point last_progress = state_.now();
     while (true) {
         time_point limit = deadline_;
         if (is_resumable && possible_runs_ < route_->max_attempts) {
-            limit = std::min(limit, state_.now() + stream_silence_timeout);
+            limit = std::min(limit, last_progress + stream_silence_timeout);
         }
         error failure;
         const auto part = co_await connection->read_some(limit, failure);
         if (!part) {
-            connection->abort();
-            last_error_ = failure.text();
-            if (!is_caller_gone_) {
-                state_.directory.on_failure(current_server_, state_.now());
-            }
-            framer_.discard_partial();
-            if (!framer_.last_id().empty()) {
-                resume_after_ = framer_.last_id();
-            }
-            if (!is_resumable && has_stream_started_) {
-                co_return co_await abort_stream();
-            }
-            co_return has_stream_started_ ? attempt_outcome::stream_interrupted : attempt_outcome::unknown;
+            co_return co_await on_stream_broken(connection, failure.text(), is_resumable);
         }
         const bool is_end = part->empty();
-        std::string bytes;
-        if (is_end) {
-            bytes = framer_.partial();
-        } else if (is_resumable) {
-            bytes = framer_.append(*part);
-        } else {
-            bytes = std::string{*part};
+        std::string bytes{*part};
+        if (is_resumable) {
+            auto events = is_end ? framer_.finish() : framer_.append(bytes);
+            if (!events) {
+                co_return co_await on_stream_broken(connection, framer_.last_reason(), is_resumable);
+            }
+            bytes = std::move(*events);
+        }
+        if (!bytes.empty()) {
+            last_progress = state_.now();
         }
         if (!bytes.empty() || is_end) {
             on_stream_started();
@@ -573,6 +574,25 @@
     }
 }
 
+asio::awaitable<request_handler::attempt_outcome>
+request_handler::on_stream_broken(const std::shared_ptr<forwarding_connection>& connection,
+                                  const std::string& reason, bool is_resumable) {
+    connection->abort();
+    last_error_ = reason;
+    if (!is_caller_gone_) {
+        state_.directory.on_failure(current_server_, state_.now());
+    }
+    if (!framer_.last_id().empty()) {
+        resume_after_ = framer_.last_id();
+    }
+    // Without an event id, another server would start from the beginning.
+    const bool can_resume = is_resumable && resume_after_;
+    if (has_stream_started_ && !can_resume) {
+        co_return co_await abort_stream();
+    }
+    co_return has_stream_started_ ? attempt_outcome::stream_interrupted : attempt_outcome::unknown;
+}
+
 asio::awaitable<request_handler::attempt_outcome> request_handler::abort_stream() {
     exchange_.abort();
     log_finished(0, is_caller_gone_ ? "caller_gone" : "broken_off");
--- a/modules/serving/event_framer.cpp
+++ b/modules/serving/event_framer.cpp
@@ -1,26 +1,29 @@
 #include "lovageledge/serving/event_framer.hpp"
 
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
 namespace lovageledge {
 namespace {
 
-/** @returns the value of the last non-empty "id" field in complete events, or an empty view */
-std::string_view find_last_id(std::string_view events) {
-    std::string_view found;
-    while (!events.empty()) {
-        const std::size_t end = events.find('\n');
-        std::string_view line = events.substr(0, end);
-        events.remove_prefix(end == std::string_view::npos ? events.size() : end + 1);
-        if (line.substr(0, 3) != "id:") {
-            continue;
-        }
-        line.remove_prefix(3);
-        const std::size_t first = line.find_first_not_of(' ');
-        const std::size_t last = line.find_last_not_of(" \r");
-        if (first != std::string_view::npos) {
-            found = line.substr(first, last - first + 1);
-        }
+/** Removes the first line from a text. @returns the line, without its end */
+std::string_view take_line(std::string_view& text) {
+    const std::size_t end = text.find('\n');
+    const std::string_view line = text.substr(0, end);
+    text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+    return line;
+}
+
+/** @returns the value of an "id" field, or an empty view for another line */
+std::string_view id_of_line(std::string_view line) {
+    if (line.substr(0, 3) != "id:") {
+        return {};
     }
-    return found;
+    line.remove_prefix(3);
+    const std::size_t first = line.find_first_not_of(' ');
+    const std::size_t last = line.find_last_not_of(" \r");
+    return first == std::string_view::npos ? std::string_view{} : line.substr(first, last - first + 1);
 }
 
 /** @returns the offset just past the last empty line, or 0 if no event is complete */
@@ -29,21 +32,64 @@
     const std::size_t crlf = bytes.rfind("\r\n\r\n");
     const std::size_t lf_end = lf == std::string::npos ? 0 : lf + 2;
     const std::size_t crlf_end = crlf == std::string::npos ? 0 : crlf + 4;
-    return lf_end > crlf_end ? lf_end : crlf_end;
+    return std::max(lf_end, crlf_end);
+}
+
+std::optional<std::uint64_t> parse_id(std::string_view text) {
+    std::uint64_t value = 0;
+    const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool is_number = problem == std::errc{} && end == text.data() + text.size() && !text.empty();
+    return is_number ? std::optional{value} : std::nullopt;
 }
 
 } // namespace
 
-std::string event_framer::append(std::string_view bytes) {
+void event_framer::begin_run() {
+    partial_.clear();
+    must_continue_ = !last_id_.empty();
+}
+
+bool event_framer::accept_id(std::string_view id) {
+    const auto last = parse_id(last_id_);
+    const auto next = parse_id(id);
+    const bool are_numbers = last && next;
+    if (must_continue_) {
+        const bool is_repeated = are_numbers ? *next <= *last : id == last_id_;
+        const bool is_gap = are_numbers && largest_step_ > 0 && *next > *last + largest_step_;
+        if (is_repeated || is_gap) {
+            last_reason_ = "the stream was resumed with event " + std::string{id} + " after " + last_id_;
+            return false;
+        }
+    } else if (are_numbers && *next > *last) {
+        largest_step_ = std::max(largest_step_, *next - *last);
+    }
+    must_continue_ = false;
+    last_id_ = id;
+    return true;
+}
+
+std::optional<std::string> event_framer::append(std::string_view bytes) {
     partial_.append(bytes);
     const std::size_t end = end_of_complete_events(partial_);
     std::string complete = partial_.substr(0, end);
     partial_.erase(0, end);
-    const std::string_view id = find_last_id(complete);
-    if (!id.empty()) {
-        last_id_ = id;
+    std::string_view rest = complete;
+    while (!rest.empty()) {
+        const std::string_view id = id_of_line(take_line(rest));
+        if (!id.empty() && !accept_id(id)) {
+            return std::nullopt;
+        }
     }
     return complete;
 }
 
+std::optional<std::string> event_framer::finish() {
+    std::string rest = std::exchange(partial_, {});
+    if (must_continue_ && !rest.empty()) {
+        last_reason_ = "the resumed stream ended in the middle of an event";
+        return std::nullopt;
+    }
+    return rest;
+}
+
 } // namespace lovageledge
--- a/modules/serving/include/lovageledge/serving/event_framer.hpp
+++ b/modules/serving/include/lovageledge/serving/event_framer.hpp
@@ -1,30 +1,46 @@
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
 namespace lovageledge {
 
 /**
-    Splits a stream of server-sent events at event boundaries.
+    Joins the runs of a stream of server-sent events, which several servers may produce one after the other.
 
-    A broken stream may end in the middle of an event. Only complete events are forwarded, so that another
-    server can resume the stream after the last one. Not thread-safe.
+    A broken run may end in the middle of an event. Only complete events are forwarded, so that another
+    server can resume the stream after the last one. The events of a resumed run must continue the former
+    ones: their ids are compared, because a server may start from the beginning or leave events out. Not
+    thread-safe.
 */
 class event_framer {
 public:
-    /** Adds received bytes. @returns the events that are complete now and can be forwarded */
-    std::string append(std::string_view bytes);
-    /** @returns the bytes of the incomplete event at the end of the stream */
-    const std::string& partial() const { return partial_; }
-    /** Drops the incomplete event. Call this before another server resumes the stream. */
-    void discard_partial() { partial_.clear(); }
+    /** Starts the run of a server. Call this before its first bytes; an incomplete event of the run before is
+        dropped. */
+    void begin_run();
+    /** Adds received bytes of the current run.
+        @returns the events that are complete now and can be forwarded; nothing if the run does not continue
+        the stream, see last_reason() */
+    std::optional<std::string> append(std::string_view bytes);
+    /** Ends the current run. @returns the bytes after the last complete event; nothing as for append() */
+    std::optional<std::string> finish();
     /** @returns the last event id in the complete events so far, or an empty string */
     const std::string& last_id() const { return last_id_; }
+    /** @returns why append() or finish() last returned nothing */
+    const std::string& last_reason() const { return last_reason_; }
 
 private:
+    bool accept_id(std::string_view id);
+
     std::string partial_;
     std::string last_id_;
+    std::string last_reason_;
+    /** The largest difference between the ids of two successive events of a run; 0 if unknown. */
+    std::uint64_t largest_step_ = 0;
+    /** The next event is the first one of a resumed run. */
+    bool must_continue_ = false;
 };
 
 } // namespace lovageledge
--- a/modules/serving/retry_budget_test.cpp
+++ b/modules/serving/retry_budget_test.cpp
@@ -13,7 +13,6 @@
     CPPUNIT_TEST(instances_together_stay_within_the_budget);
     CPPUNIT_TEST(budget_is_restored_after_the_window);
     CPPUNIT_TEST(demand_decays_with_its_half_life);
-    CPPUNIT_TEST(framer_returns_complete_events_only);
     CPPUNIT_TEST_SUITE_END();
 
     const pool_name pool_{"pool"};
@@ -60,17 +59,6 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, meter.recent_requests(ref, now_ + seconds{5}), 1e-9);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0, meter.recent_requests({"base", "a2"}, now_), 1e-9);
     }
-
-    void framer_returns_complete_events_only() {
-        event_framer framer;
-        CPPUNIT_ASSERT_EQUAL(std::string{"id: 1\ndata: a\n\n"}, framer.append("id: 1\ndata: a\n\nid: 2\nda"));
-        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, framer.last_id());
-        CPPUNIT_ASSERT_EQUAL(std::string{"id: 2\nda"}, framer.partial());
-        CPPUNIT_ASSERT_EQUAL(std::string{"id: 2\ndata: b\n\n"}, framer.append("ta: b\n\n"));
-        framer.append("id: 3\n");
-        framer.discard_partial();
-        CPPUNIT_ASSERT_EQUAL(std::string{"2"}, framer.last_id());
-    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(retry_budget_test);
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -51,6 +51,13 @@
     CPPUNIT_TEST(repeated_refusal_of_an_earlier_attempt_is_not_taken_for_the_next_one);
     CPPUNIT_TEST(interim_responses_are_skipped);
     CPPUNIT_TEST(unstated_503_of_a_server_that_may_have_run_the_request_is_not_passed_on);
+    CPPUNIT_TEST(error_after_a_broken_stream_does_not_reach_the_caller);
+    CPPUNIT_TEST(resumed_stream_that_starts_again_is_not_joined);
+    CPPUNIT_TEST(resumed_stream_that_skips_an_event_is_not_joined);
+    CPPUNIT_TEST(resumed_stream_with_a_length_must_continue_as_well);
+    CPPUNIT_TEST(broken_stream_is_resumed_after_its_last_event);
+    CPPUNIT_TEST(stream_that_trickles_without_events_is_resumed_elsewhere);
+    CPPUNIT_TEST(slow_stream_that_cannot_be_resumed_is_not_cut);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* plain_path = "/plain/";
