A request whose caller has left is not sent

Cause: the gateway learns of a closed connection in the turn of its event loop after it has read the request. With a pooled connection the request is sent in the same turn.

Change: before it sends a request, the handler asks the kernel whether the caller has closed the connection (http_exchange::has_caller_left).

Test: request_of_a_caller_that_is_gone_is_not_sent stops the event loop while a caller sends and leaves; it failed before and passes now.

--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -339,9 +339,11 @@
 asio::awaitable<request_handler::attempt_outcome>
 request_handler::exchange_with_server(backend& server, std::shared_ptr<forwarding_connection> connection) {
     const server_listing listing = server.listing;
-    if (is_caller_gone_) {
-        connection->abort();
-        co_return attempt_outcome::finished;
+    if (is_caller_gone_ || exchange_.has_caller_left()) {
+        is_caller_gone_ = true;
+        last_error_ = "the caller left before the request was sent";
+        pool_.release(listing, connection, state_.now());
+        co_return attempt_outcome::not_sent;
     }
     connection->send(make_request_head(server), exchange_.body());
     used_connections_.push_back(connection);
--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -2,7 +2,9 @@
 
 #include <array>
 #include <cassert>
+#include <cerrno>
 #include <nlohmann/json.hpp>
+#include <sys/socket.h>
 
 namespace lovageledge {
 namespace {
@@ -202,6 +204,16 @@
     });
 }
 
+bool http_exchange::has_caller_left() {
+    if (is_aborted_ || !stream_.socket().is_open()) {
+        return true;
+    }
+    char byte = 0;
+    const ssize_t size = ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const bool is_open = size > 0 || (size < 0 && (errno == EAGAIN || errno == EINTR));
+    return !is_open;
+}
+
 http_server::http_server(asio::io_context& context, http_limits limits, handler on_request)
     : context_{context}, limits_{limits}, on_request_{std::move(on_request)}, acceptor_{asio::make_strand(
                                                                                   context)} {}
--- a/modules/transport/include/lovageledge/transport/http_server.hpp
+++ b/modules/transport/include/lovageledge/transport/http_server.hpp
@@ -86,6 +86,9 @@
         forwarded response, before it is complete. Data from the caller ends the watch. */
     void on_close(std::function<void()> callback);
 
+    /** @returns true if the caller is known to have closed its connection. Asks the kernel, so that a closure
+        is noticed before on_close() reports it, which takes a turn of the executor. */
+    bool has_caller_left();
     bool has_responded() const { return has_responded_; }
     bool is_aborted() const { return is_aborted_; }
     /** @returns true if the connection can serve another request after this one */
