A server that announces its leaving gets no new requests

Change: platform/ decodes the header in every response, refusals and heads of streams included, also in late ones; server_notices remembers it for the server's start, beyond the life of its entry in the list. Values other than 0 and 1 count as leaving and are logged (events 324 and 326).

Tests: two in request_handler_test and one in backend_directory_test, which did not pass before; reads_that_a_server_is_leaving.

--- a/modules/base/include/lovageledge/base/event_log.hpp
+++ b/modules/base/include/lovageledge/base/event_log.hpp
@@ -46,6 +46,8 @@
     backend_dropped = 321,
     backend_entry_rejected = 322,
     backend_avoided = 323,
+    backend_leaving = 324,
+    backend_header_malformed = 326,
     order_domain_taken = 330,
     order_domain_lost = 331,
     order_authority_gained = 332,
--- a/modules/gateway/include/lovageledge/gateway/request_handler.hpp
+++ b/modules/gateway/include/lovageledge/gateway/request_handler.hpp
@@ -59,8 +59,10 @@
     /** Reads the head of the response to this attempt, skipping late or repeated responses to earlier
         requests. */
     asio::awaitable<std::optional<response_head>>
-    read_matching_head(const std::shared_ptr<forwarding_connection>& connection, time_point limit,
-                       response_attributes& attributes);
+    read_matching_head(const std::shared_ptr<forwarding_connection>& connection,
+                       const server_listing& listing, time_point limit, response_attributes& attributes);
+    /** Processes what a response says about its server, whichever request it belongs to. */
+    void process_notices(const server_listing& listing, const response_attributes& attributes);
     asio::awaitable<attempt_outcome>
     forward_buffered(const std::shared_ptr<forwarding_connection>& connection, response_head head);
     asio::awaitable<attempt_outcome> forward_stream(const std::shared_ptr<forwarding_connection>& connection,
--- a/modules/gateway/include/lovageledge/gateway/wire_codec.hpp
+++ b/modules/gateway/include/lovageledge/gateway/wire_codec.hpp
@@ -31,6 +31,10 @@
     bool is_misdirected = false;
     std::optional<server_name> server;
     std::optional<server_load_report> load;
+    /** The server announces its shutdown. */
+    bool is_leaving = false;
+    /** Describes a header that is malformed and what was assumed instead; empty if there is none. */
+    std::string malformed_header;
 };
 
 /** What the gateway sends to a backend server in addition to the caller's request. */
--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -353,7 +353,7 @@
         limit = std::min(limit, state_.now() + route_->latency_target * retry_after_latency_targets);
     }
     response_attributes attributes;
-    const auto head = co_await read_matching_head(connection, limit, attributes);
+    const auto head = co_await read_matching_head(connection, listing, limit, attributes);
     state_.directory.on_response_started(listing.name, listing.started_at, state_.now());
     if (!head) {
         connection->abort();
@@ -401,6 +401,22 @@
     co_return result;
 }
 
+void request_handler::process_notices(const server_listing& listing, const response_attributes& attributes) {
+    if (attributes.server && *attributes.server != listing.name) {
+        return; // Another server has taken over the address.
+    }
+    const std::string context =
+        fmt::format("server={} request={}", listing.name.text(), attributes_.id.text());
+    if (!attributes.malformed_header.empty()) {
+        state_.log.write(event::backend_header_malformed,
+                         fmt::format("{} header=\"{}\"", context, attributes.malformed_header));
+    }
+    if (attributes.is_leaving &&
+        state_.directory.on_leaving(listing.name, listing.started_at, state_.now())) {
+        state_.log.write(event::backend_leaving, context);
+    }
+}
+
 bool request_handler::is_response_to(const forwarding_connection& connection,
                                      const response_attributes& attributes) const {
     if (attributes.id) {
@@ -411,7 +427,8 @@
 
 asio::awaitable<std::optional<response_head>>
 request_handler::read_matching_head(const std::shared_ptr<forwarding_connection>& connection,
-                                    time_point limit, response_attributes& attributes) {
+                                    const server_listing& listing, time_point limit,
+                                    response_attributes& attributes) {
     while (true) {
         error failure;
         auto head = co_await connection->read_head(limit, failure);
@@ -423,6 +440,7 @@
             continue;
         }
         attributes = state_.codec.read_response(*head);
+        process_notices(listing, attributes);
         if (is_response_to(*connection, attributes)) {
             co_return head;
         }
--- a/modules/service/decision_log.cpp
+++ b/modules/service/decision_log.cpp
@@ -81,6 +81,10 @@
         return "backend_entry_rejected";
     case event::backend_avoided:
         return "backend_avoided";
+    case event::backend_leaving:
+        return "backend_leaving";
+    case event::backend_header_malformed:
+        return "backend_header_malformed";
     case event::order_domain_taken:
         return "order_domain_taken";
     case event::order_domain_lost:
--- a/modules/serving/backend_directory.cpp
+++ b/modules/serving/backend_directory.cpp
@@ -112,7 +112,8 @@
         known == servers_.end() || known->second.listing.started_at < listing.started_at;
     if (is_new_start) {
         backend new_server;
-        new_server.is_leaving = listing.is_leaving;
+        const server_notice notice = notices_.of(listing.name, listing.started_at);
+        new_server.is_leaving = listing.is_leaving || notice.is_leaving;
         new_server.load_reported_at = now;
         new_server.name_hash = stable_hash(listing.name.text());
         new_server.listing = std::move(listing);
@@ -164,11 +165,13 @@
     return dropped;
 }
 
-void backend_directory::on_leaving(const server_name& name, std::uint64_t started_at) {
+bool backend_directory::on_leaving(const server_name& name, std::uint64_t started_at, time_point now) {
+    const bool is_new = notices_.on_leaving(name, started_at, now);
     backend* server = find(name);
     if (server != nullptr && server->listing.started_at == started_at) {
         server->is_leaving = true;
     }
+    return is_new;
 }
 
 bool backend_directory::on_weights_reported(const server_name& name, std::uint64_t started_at,
--- a/modules/serving/backend_directory_test.cpp
+++ b/modules/serving/backend_directory_test.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST_SUITE(backend_directory_test);
     CPPUNIT_TEST(restart_under_the_same_name_resets_the_state);
     CPPUNIT_TEST(entry_of_an_earlier_start_is_ignored);
+    CPPUNIT_TEST(announced_leaving_outlasts_the_entry_in_the_list);
     CPPUNIT_TEST(leaving_lasts_for_the_rest_of_a_start);
     CPPUNIT_TEST(base_model_in_an_entry_is_kept_while_the_holder_takes_precedence);
     CPPUNIT_TEST(older_report_of_a_holder_is_ignored);
@@ -52,6 +53,21 @@
         CPPUNIT_ASSERT(!directory_.find(name_)->is_leaving);
     }
 
+    // After an outage of the store, entries that had expired come back.
+    void announced_leaving_outlasts_the_entry_in_the_list() {
+        directory_.on_listed(listing(1), now_);
+        CPPUNIT_ASSERT(directory_.on_leaving(name_, 1, now_));
+        CPPUNIT_ASSERT(!directory_.on_leaving(name_, 1, now_));
+        CPPUNIT_ASSERT(directory_.usable_servers(pool_name{"pool"}).empty());
+        directory_.on_unlisted(name_);
+        directory_.on_listed(listing(1), now_);
+        CPPUNIT_ASSERT(directory_.usable_servers(pool_name{"pool"}).empty());
+        directory_.on_listed(listing(2), now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory_.usable_servers(pool_name{"pool"}).size());
+        CPPUNIT_ASSERT(!directory_.on_leaving(name_, 1, now_));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory_.usable_servers(pool_name{"pool"}).size());
+    }
+
     void leaving_lasts_for_the_rest_of_a_start() {
         server_listing leaving = listing(1);
         leaving.is_leaving = true;
--- a/modules/serving/include/lovageledge/serving/backend_directory.hpp
+++ b/modules/serving/include/lovageledge/serving/backend_directory.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "lovageledge/base/base.hpp"
+#include "lovageledge/serving/server_notices.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -147,8 +147,9 @@
     /** Drops all servers that are not in the complete list, which is read after changes were missed.
         @returns the names of the dropped servers */
     std::vector<server_name> retain(const std::set<server_name>& listed);
-    /** Marks a server as leaving after it has announced its own shutdown. */
-    void on_leaving(const server_name& name, std::uint64_t started_at);
+    /** Marks a start of a server as leaving after it has announced its own shutdown.
+        @returns true if that was not known */
+    bool on_leaving(const server_name& name, std::uint64_t started_at, time_point now);
 
     /** Processes a report of a server's loaded weights, by the server itself or by the holder.
         @returns false if the report is outdated or belongs to another start */
@@ -181,6 +182,7 @@
 
 private:
     std::map<server_name, backend> servers_;
+    server_notices notices_;
 };
 
 } // namespace lovageledge
--- a/modules/serving/include/lovageledge/serving/serving.hpp
+++ b/modules/serving/include/lovageledge/serving/serving.hpp
@@ -11,6 +11,7 @@
 #include "lovageledge/serving/order_succession.hpp"
 #include "lovageledge/serving/reported_work.hpp"
 #include "lovageledge/serving/retry_budget.hpp"
+#include "lovageledge/serving/server_notices.hpp"
 #include "lovageledge/serving/server_selector.hpp"
 #include "lovageledge/serving/store_watch_policy.hpp"
 #include "lovageledge/serving/traffic_configuration.hpp"
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -59,6 +59,8 @@
     CPPUNIT_TEST(stream_that_trickles_without_events_is_resumed_elsewhere);
     CPPUNIT_TEST(slow_stream_that_cannot_be_resumed_is_not_cut);
     CPPUNIT_TEST(request_of_a_caller_that_is_gone_is_not_sent);
+    CPPUNIT_TEST(server_that_announces_its_leaving_gets_no_further_request);
+    CPPUNIT_TEST(leaving_is_noticed_in_refusals_and_stream_heads);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* plain_path = "/plain/";
