A server that asks for a pause gets nothing until it ends

Cause: a server's 503 with Retry-After was taken as "full" for 0.1 s.

If all servers of a service pause, a request waits for the first to return if that is within its latency target, and is refused at once otherwise, with a Retry-After after the pause and a spread.

Conclusion: as for Server-Leaving, only our tests play it so far.

--- a/modules/base/include/lovageledge/base/event_log.hpp
+++ b/modules/base/include/lovageledge/base/event_log.hpp
@@ -47,6 +47,7 @@
     backend_entry_rejected = 322,
     backend_avoided = 323,
     backend_leaving = 324,
+    backend_paused = 325,
     backend_header_malformed = 326,
     order_domain_taken = 330,
     order_domain_lost = 331,
--- a/modules/gateway/include/lovageledge/gateway/request_handler.hpp
+++ b/modules/gateway/include/lovageledge/gateway/request_handler.hpp
@@ -52,6 +52,9 @@
     bool resolve_route();
     asio::awaitable<void> run_attempts();
     asio::awaitable<std::optional<server_choice>> select_server();
+    /** Waits until a server's pause ends, if all servers have asked for one and the wait is short enough.
+        @returns false if the request must be refused; last_error_ and retry_after_ are set then */
+    asio::awaitable<bool> wait_for_pause_end();
     asio::awaitable<attempt_outcome> run_attempt(const server_choice& choice);
     asio::awaitable<attempt_outcome> exchange_with_server(backend& server,
                                                           std::shared_ptr<forwarding_connection> connection);
@@ -125,6 +128,8 @@
     std::optional<response_head> error_response_head_;
     std::string error_response_body_;
     std::string last_error_;
+    /** When the caller should return, if that is known better than retry_after_transient. */
+    std::optional<duration> retry_after_;
 };
 
 } // namespace lovageledge
--- a/modules/gateway/include/lovageledge/gateway/wire_codec.hpp
+++ b/modules/gateway/include/lovageledge/gateway/wire_codec.hpp
@@ -33,6 +33,8 @@
     std::optional<server_load_report> load;
     /** The server announces its shutdown. */
     bool is_leaving = false;
+    /** The server turned the request away and wants nothing from this instance for this long. */
+    std::optional<duration> requested_pause;
     /** Describes a header that is malformed and what was assumed instead; empty if there is none. */
     std::string malformed_header;
 };
--- a/modules/gateway/order_coordinator.cpp
+++ b/modules/gateway/order_coordinator.cpp
@@ -556,7 +556,7 @@
         return;
     }
     const auto is_managed = [this](const backend& server) {
-        return server.listing.zone == state_.settings.data_centre;
+        return server.listing.zone == state_.settings.data_centre && !server.is_paused(state_.now());
     };
     for (const server_name& name :
          planner_.next_report_requests(state_.directory, *state_.routes, is_managed, state_.now())) {
--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -171,8 +171,13 @@
         if (result == attempt_outcome::finished) {
             co_return;
         }
-        // A server that lacked the adapter may load it; other servers are not tried twice.
-        if (result != attempt_outcome::weights_missing) {
+        // A server that lacked the adapter may load it, and one that asked for a pause takes requests after
+        // it; other servers are not tried twice.
+        const backend* server = state_.directory.find(choice->server);
+        const bool is_paused = server != nullptr && server->is_paused(state_.now());
+        const bool may_take_it_later =
+            result == attempt_outcome::weights_missing || (result == attempt_outcome::not_run && is_paused);
+        if (!may_take_it_later) {
             work_.excluded.insert(choice->server);
         }
         if (!try_retry(result, *choice)) {
@@ -209,7 +214,9 @@
         const time_point now = state_.now();
         auto choice = state_.selector.pick(state_.directory, state_.versions, work_, now);
         if (!choice) {
-            last_error_ = "no server of the service can take it";
+            if (co_await wait_for_pause_end()) {
+                continue;
+            }
             co_return std::nullopt;
         }
         if (choice->estimate > (deadline_ - now) * max_first_byte_share) {
@@ -237,6 +244,28 @@
     co_return std::nullopt;
 }
 
+asio::awaitable<bool> request_handler::wait_for_pause_end() {
+    const time_point now = state_.now();
+    const auto pause_end = state_.directory.earliest_pause_end(work_.service, now);
+    if (!pause_end) {
+        last_error_ = "no server of the service can take it";
+        co_return false;
+    }
+    const duration wait = spread_return(*pause_end - now, attributes_.id);
+    // A response that only just comes before its deadline is late anyway, and the caller may find another
+    // instance whose servers take requests.
+    const bool is_worth_waiting = wait <= std::min(route_->latency_target, (deadline_ - now) / 2);
+    if (!is_worth_waiting) {
+        last_error_ = "all servers of the service asked for a pause";
+        retry_after_ = wait;
+        co_return false;
+    }
+    asio::steady_timer timer{co_await asio::this_coro::executor, wait};
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    co_return true;
+}
+
 asio::awaitable<request_handler::attempt_outcome> request_handler::run_attempt(const server_choice& choice) {
     backend* server = state_.directory.find(choice.server);
     if (server == nullptr) {
@@ -415,6 +444,14 @@
         state_.directory.on_leaving(listing.name, listing.started_at, state_.now())) {
         state_.log.write(event::backend_leaving, context);
     }
+    if (attributes.requested_pause) {
+        const time_point now = state_.now();
+        const time_point until = now + *attributes.requested_pause;
+        if (state_.directory.on_pause_requested(listing.name, listing.started_at, until, now)) {
+            state_.log.write(event::backend_paused,
+                             fmt::format("{} pause_ms={}", context, to_ms(*attributes.requested_pause)));
+        }
+    }
 }
 
 bool request_handler::is_response_to(const forwarding_connection& connection,
@@ -646,7 +683,7 @@
     const unserved_status status = choose_unserved_status({possible_runs_, state_.now() >= deadline_});
     const bool is_not_run = status == unserved_status::unavailable;
     co_await refuse(static_cast<unsigned>(status), last_error_,
-                    is_not_run ? std::optional<duration>{retry_after_transient} : std::nullopt);
+                    is_not_run ? std::optional{retry_after_.value_or(retry_after_transient)} : std::nullopt);
 }
 
 asio::awaitable<void> request_handler::refuse(unsigned status, std::string_view reason,
--- a/modules/service/decision_log.cpp
+++ b/modules/service/decision_log.cpp
@@ -83,6 +83,8 @@
         return "backend_avoided";
     case event::backend_leaving:
         return "backend_leaving";
+    case event::backend_paused:
+        return "backend_paused";
     case event::backend_header_malformed:
         return "backend_header_malformed";
     case event::order_domain_taken:
--- a/modules/serving/backend_directory.cpp
+++ b/modules/serving/backend_directory.cpp
@@ -21,6 +21,9 @@
 /** How long a server that refused a request as full is avoided; about the duration of a few requests. */
 constexpr auto full_server_backoff = std::chrono::milliseconds{100};
 
+/** How long a server is preferred less after a pause that it asked for. */
+constexpr auto backoff_after_pause = std::chrono::milliseconds{300};
+
 } // namespace
 
 std::optional<std::uint64_t> held_weights::version_of(const adapter_ref& ref) const {
@@ -114,6 +117,7 @@
         backend new_server;
         const server_notice notice = notices_.of(listing.name, listing.started_at);
         new_server.is_leaving = listing.is_leaving || notice.is_leaving;
+        new_server.paused_until = notice.paused_until;
         new_server.load_reported_at = now;
         new_server.name_hash = stable_hash(listing.name.text());
         new_server.listing = std::move(listing);
@@ -174,6 +178,28 @@
     return is_new;
 }
 
+bool backend_directory::on_pause_requested(const server_name& name, std::uint64_t started_at,
+                                           time_point until, time_point now) {
+    const bool is_longer = notices_.on_pause(name, started_at, until, now);
+    backend* server = find(name);
+    if (is_longer && server != nullptr && server->listing.started_at == started_at) {
+        server->paused_until = until;
+        server->full_until = until + backoff_after_pause;
+    }
+    return is_longer;
+}
+
+std::optional<time_point> backend_directory::earliest_pause_end(const pool_name& service, time_point now) {
+    std::optional<time_point> earliest;
+    for (const backend* server : usable_servers(service)) {
+        if (!server->is_paused(now)) {
+            return std::nullopt;
+        }
+        earliest = std::min(earliest.value_or(time_point::max()), server->paused_until);
+    }
+    return earliest;
+}
+
 bool backend_directory::on_weights_reported(const server_name& name, std::uint64_t started_at,
                                             std::uint64_t sequence, held_weights weights, time_point now) {
     backend* server = find(name);
@@ -228,7 +254,7 @@
 void backend_directory::on_refused(const server_name& name, time_point now) {
     backend* server = find(name);
     if (server != nullptr) {
-        server->full_until = now + full_server_backoff;
+        server->full_until = std::max(server->full_until, now + full_server_backoff);
     }
 }
 
--- a/modules/serving/backend_directory_test.cpp
+++ b/modules/serving/backend_directory_test.cpp
@@ -12,6 +12,9 @@
     CPPUNIT_TEST(restart_under_the_same_name_resets_the_state);
     CPPUNIT_TEST(entry_of_an_earlier_start_is_ignored);
     CPPUNIT_TEST(announced_leaving_outlasts_the_entry_in_the_list);
+    CPPUNIT_TEST(pause_lasts_until_its_end_or_the_next_start);
+    CPPUNIT_TEST(earliest_pause_end_is_known_if_all_servers_pause);
+    CPPUNIT_TEST(returns_after_a_pause_are_spread);
     CPPUNIT_TEST(leaving_lasts_for_the_rest_of_a_start);
     CPPUNIT_TEST(base_model_in_an_entry_is_kept_while_the_holder_takes_precedence);
     CPPUNIT_TEST(older_report_of_a_holder_is_ignored);
@@ -68,6 +71,43 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory_.usable_servers(pool_name{"pool"}).size());
     }
 
+    void pause_lasts_until_its_end_or_the_next_start() {
+        directory_.on_listed(listing(1), now_);
+        CPPUNIT_ASSERT(directory_.on_pause_requested(name_, 1, now_ + seconds{5}, now_));
+        CPPUNIT_ASSERT(!directory_.on_pause_requested(name_, 1, now_ + seconds{2}, now_));
+        directory_.on_unlisted(name_);
+        directory_.on_listed(listing(1), now_);
+        CPPUNIT_ASSERT(directory_.find(name_)->is_paused(now_ + seconds{4}));
+        CPPUNIT_ASSERT(!directory_.find(name_)->is_paused(now_ + seconds{5}));
+        directory_.on_listed(listing(2), now_);
+        CPPUNIT_ASSERT(!directory_.find(name_)->is_paused(now_));
+    }
+
+    void earliest_pause_end_is_known_if_all_servers_pause() {
+        server_listing other = listing(1);
+        other.name = server_name{"s2"};
+        directory_.on_listed(listing(1), now_);
+        directory_.on_listed(other, now_);
+        directory_.on_pause_requested(name_, 1, now_ + seconds{5}, now_);
+        CPPUNIT_ASSERT(!directory_.earliest_pause_end(pool_name{"pool"}, now_));
+        directory_.on_pause_requested(other.name, 1, now_ + seconds{3}, now_);
+        CPPUNIT_ASSERT(directory_.earliest_pause_end(pool_name{"pool"}, now_) == now_ + seconds{3});
+        CPPUNIT_ASSERT(!directory_.earliest_pause_end(pool_name{"pool"}, now_ + seconds{3}));
+    }
+
+    void returns_after_a_pause_are_spread() {
+        duration earliest = duration::max();
+        duration latest{};
+        for (int i = 0; i < 100; ++i) {
+            const duration wait = spread_return(seconds{1}, request_id{std::to_string(i)});
+            earliest = std::min(earliest, wait);
+            latest = std::max(latest, wait);
+        }
+        CPPUNIT_ASSERT(earliest >= seconds{1});
+        CPPUNIT_ASSERT(latest <= std::chrono::milliseconds{1250});
+        CPPUNIT_ASSERT(latest - earliest > std::chrono::milliseconds{200});
+    }
+
     void leaving_lasts_for_the_rest_of_a_start() {
         server_listing leaving = listing(1);
         leaving.is_leaving = true;
--- a/modules/serving/include/lovageledge/serving/backend_directory.hpp
+++ b/modules/serving/include/lovageledge/serving/backend_directory.hpp
@@ -82,6 +82,8 @@
     /** True while the platform lists the server. An unlisted server gets no new requests. */
     bool is_listed = true;
     bool is_leaving = false;
+    /** The server asked for a pause: this instance sends it nothing before this time. */
+    time_point paused_until{};
 
     server_load_report load;
     time_point load_reported_at{};
@@ -109,6 +111,8 @@
     /** Number of requests of this instance that run or wait on the server, by adapter. */
     std::map<adapter_ref, std::uint32_t> adapters_in_use;
 
+    /** @returns true while the server wants nothing from this instance */
+    bool is_paused(time_point now) const { return paused_until > now; }
     /** @returns true if this instance avoids the server because it failed recently or seems to hang */
     bool is_avoided(time_point now) const;
     /** @returns the number of other gateways that avoid the server */
@@ -151,6 +155,12 @@
         @returns true if that was not known */
     bool on_leaving(const server_name& name, std::uint64_t started_at, time_point now);
 
+    /** Processes that a start of a server asked this instance for a pause. It is preferred less for a short
+        time afterwards, so that the requests that waited for it do not all return at once.
+        @returns true if the pause is longer than the known one */
+    bool on_pause_requested(const server_name& name, std::uint64_t started_at, time_point until,
+                            time_point now);
+
     /** Processes a report of a server's loaded weights, by the server itself or by the holder.
         @returns false if the report is outdated or belongs to another start */
     bool on_weights_reported(const server_name& name, std::uint64_t started_at, std::uint64_t sequence,
@@ -178,6 +188,9 @@
     const backend* find(const server_name& name) const;
     /** @returns the servers of a service that may get new requests, ordered by name */
     std::vector<backend*> usable_servers(const pool_name& service);
+    /** @returns when the first of a service's servers ends its pause, if all that could get requests have
+        asked for one */
+    std::optional<time_point> earliest_pause_end(const pool_name& service, time_point now);
     const std::map<server_name, backend>& servers() const { return servers_; }
 
 private:
--- a/modules/serving/include/lovageledge/serving/server_notices.hpp
+++ b/modules/serving/include/lovageledge/serving/server_notices.hpp
@@ -15,6 +15,11 @@
     time_point paused_until{};
 };
 
+/** Spreads the requests that wait for the end of a pause over some time after it.
+    @param wait time until the pause ends
+    @returns the time until this request may be sent, at most a quarter longer */
+duration spread_return(duration wait, const request_id& id);
+
 /**
     Remembers the notices of backend servers for as long as the server's start may last.
 
--- a/modules/serving/server_notices.cpp
+++ b/modules/serving/server_notices.cpp
@@ -8,8 +8,17 @@
 /** Bounds the memory in a long life of the process with many servers; the oldest notices are dropped. */
 constexpr std::size_t max_entries = 4096;
 
+/** Longest time over which returning requests are spread. */
+constexpr auto max_return_spread = std::chrono::milliseconds{500};
+
 } // namespace
 
+duration spread_return(duration wait, const request_id& id) {
+    constexpr int steps = 256;
+    const duration spread = std::min<duration>(wait / 4, max_return_spread);
+    return wait + spread * static_cast<int>(stable_hash(id.text()) % steps) / steps;
+}
+
 server_notices::entry& server_notices::entry_of(const server_name& server, std::uint64_t started_at,
                                                 time_point now) {
     entry& found = entries_[server];
--- a/modules/serving/server_selector.cpp
+++ b/modules/serving/server_selector.cpp
@@ -139,7 +139,7 @@
     const backend* home = request.needs_weights() ? find_home(candidates, request.weights) : nullptr;
     const std::uint64_t request_key = stable_hash(request.id.text());
     for (const backend* server : candidates) {
-        if (request.excluded.contains(server->listing.name)) {
+        if (server->is_paused(now) || request.excluded.contains(server->listing.name)) {
             continue;
         }
         const bool is_base_missing =
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -61,6 +61,9 @@
     CPPUNIT_TEST(request_of_a_caller_that_is_gone_is_not_sent);
     CPPUNIT_TEST(server_that_announces_its_leaving_gets_no_further_request);
     CPPUNIT_TEST(leaving_is_noticed_in_refusals_and_stream_heads);
+    CPPUNIT_TEST(server_that_asks_for_a_pause_gets_no_request_until_it_ends);
+    CPPUNIT_TEST(request_is_refused_until_the_pause_of_the_only_server_ends);
+    CPPUNIT_TEST(short_pause_of_the_only_server_is_waited_for);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* plain_path = "/plain/";
