Messages between gateways are not copied, and serialised once for all peers

Each broadcast was serialised anew for every peer.

Change: the receiver hands its message over; peer_socket::send_bytes takes a serialised message, which peer_directory makes once for a data centre.

Test: behaviour is the same; peer_socket_test and the soak cover it.

--- a/modules/gateway/include/lovageledge/gateway/peer_directory.hpp
+++ b/modules/gateway/include/lovageledge/gateway/peer_directory.hpp
@@ -46,6 +46,8 @@
 
 private:
     void connect(const instance_name& name, peer_gateway& peer);
+    /** Sets the sender fields. @returns the serialised message */
+    std::string serialise(protocol::Envelope& message) const;
 
     const gateway_settings& settings_;
     peer_socket socket_;
--- a/modules/gateway/order_coordinator.cpp
+++ b/modules/gateway/order_coordinator.cpp
@@ -56,9 +56,10 @@
 
 order_coordinator::order_coordinator(asio::io_context& context, gateway_state& state)
     : context_{context}, state_{state}, peers_{state.settings,
-                                               [this](const protocol::Envelope& message) {
-                                                   asio::post(context_,
-                                                              [this, message] { on_message(message); });
+                                               [this](protocol::Envelope message) {
+                                                   asio::post(context_, [this, message = std::move(message)] {
+                                                       on_message(message);
+                                                   });
                                                }},
       exchange_{state, peers_,
                 [this](const server_name& server, const adapter_ref& ref) {
--- a/modules/gateway/peer_directory.cpp
+++ b/modules/gateway/peer_directory.cpp
@@ -60,16 +60,22 @@
         return;
     }
     connect(to, peer->second);
+    socket_.send_bytes(to, serialise(message));
+}
+
+std::string peer_directory::serialise(protocol::Envelope& message) const {
     message.set_protocol_version(peer_protocol_version);
     message.set_from(settings_.name.text());
     message.set_from_start(settings_.start.text());
-    socket_.send(to, message);
+    return message.SerializeAsString();
 }
 
 void peer_directory::send_to_data_centre(protocol::Envelope& message) {
-    for (const auto& [name, peer] : peers_) {
+    const std::string bytes = serialise(message);
+    for (auto& [name, peer] : peers_) {
         if (peer.data_centre == settings_.data_centre) {
-            send(name, message);
+            connect(name, peer);
+            socket_.send_bytes(name, bytes);
         }
     }
 }
--- a/modules/transport/include/lovageledge/transport/peer_socket.hpp
+++ b/modules/transport/include/lovageledge/transport/peer_socket.hpp
@@ -20,7 +20,7 @@
 */
 class peer_socket {
 public:
-    using message_handler = std::function<void(const protocol::Envelope&)>;
+    using message_handler = std::function<void(protocol::Envelope)>;
     using error_handler = std::function<void(const error&)>;
 
     /** Queue limit for messages that must not be lost while a peer is slow. */
@@ -43,6 +43,8 @@
     void connect(const instance_name& peer, const std::string& address);
     /** Queues a message for a peer. It is dropped if the peer is not connected or its queue is full. */
     void send(const instance_name& peer, const protocol::Envelope& message);
+    /** Queues a serialised message, as above. A message to many peers is serialised once for all of them. */
+    void send_bytes(const instance_name& peer, const std::string& bytes);
 
     /** @returns the number of messages that send() has dropped */
     std::uint64_t dropped_messages() const { return dropped_messages_; }
--- a/modules/transport/peer_socket.cpp
+++ b/modules/transport/peer_socket.cpp
@@ -61,12 +61,12 @@
 
 void peer_socket::implementation::deliver(const zmq::message_t& bytes) {
     error why;
-    const auto envelope = parse_envelope(bytes.to_string_view(), why);
+    auto envelope = parse_envelope(bytes.to_string_view(), why);
     if (!envelope) {
         on_error(why);
         return;
     }
-    on_message(*envelope);
+    on_message(std::move(*envelope));
 }
 
 void peer_socket::implementation::receive_loop() {
@@ -141,7 +141,10 @@
 }
 
 void peer_socket::send(const instance_name& peer, const protocol::Envelope& message) {
-    const std::string bytes = message.SerializeAsString();
+    send_bytes(peer, message.SerializeAsString());
+}
+
+void peer_socket::send_bytes(const instance_name& peer, const std::string& bytes) {
     const std::scoped_lock lock{implementation_->mutex};
     const auto peer_entry = implementation_->outbound.find(peer);
     if (peer_entry == implementation_->outbound.end()) {
