Holders announce what servers hold together, and at once to those that wait

Cause: after each order the holder sent all weights of the server to every gateway of its data centre, and each other holder relayed that to its own gateways.

Change: the holder collects changes for 60 ms, its own and those that it relays, into one message for all peers; a gateway whose request waits for weights on the server is told at once, also one in another data centre.

--- a/modules/gateway/include/lovageledge/gateway/order_coordinator.hpp
+++ b/modules/gateway/include/lovageledge/gateway/order_coordinator.hpp
@@ -91,7 +91,12 @@
     void apply_domain_record(const stored_record& record, std::optional<time_point> requested_at);
     void on_domain_changed(const order_domain_record& former, bool was_holder);
     std::string domain_record_name() const;
+    /** Tells the peers what a server holds: those that wait for weights on it now, all others soon. */
     void publish_weights(const backend& server);
+    void send_weights_to_waiting_peers(const backend& server);
+    /** Adds a server to the next announcement, and schedules that if necessary. */
+    void announce_weights(const server_name& server);
+    void send_weights_announcement();
     void wake_waiters(const server_name& server);
 
     void send_heartbeats();
@@ -102,8 +107,8 @@
     void on_data_centre_beat(const instance_name& from, const protocol::DataCentreBeat& beat);
     void on_store_update(const protocol::StoreUpdate& update);
     void add_weights_request(const backend& server, const adapter_ref& ref, bool was_refused);
-    void on_weights_wanted(const protocol::WeightsWanted& message);
-    void on_weights_held(const protocol::Envelope& envelope);
+    void on_weights_wanted(const instance_name& from, const protocol::WeightsWanted& message);
+    void on_weights_held(const protocol::Envelope& envelope, bool is_from_other_data_centre);
     void log_order(const weights_order& order, const order_result& result, const order_authority& authority);
 
     asio::io_context& context_;
@@ -117,6 +122,12 @@
     std::map<std::string, std::uint64_t> record_revisions_;
     std::multimap<server_name, load_waiter> waiters_;
     asio::steady_timer plan_timer_;
+    asio::steady_timer announcement_timer_;
+    /** Servers whose weights have changed since the last announcement. */
+    std::set<server_name> unannounced_weights_;
+    /** Peers whose requests wait for weights on a server, and when they last asked for them. */
+    std::map<server_name, std::map<std::pair<instance_name, adapter_ref>, time_point>>
+        peers_waiting_for_weights_;
     time_point last_remote_summary_{};
     std::size_t unanswered_orders_ = 0;
     bool is_writing_domain_ = false;
--- a/modules/gateway/order_coordinator.cpp
+++ b/modules/gateway/order_coordinator.cpp
@@ -17,6 +17,11 @@
 constexpr auto busy_plan_interval = milliseconds{15};
 /** Planning interval otherwise. */
 constexpr auto idle_plan_interval = milliseconds{150};
+/** Changes of the servers' weights are collected for this long before all peers are told; those that wait for
+    them are told at once. */
+constexpr auto weights_announcement_interval = milliseconds{60};
+/** A peer asks again for weights at the latest after its load_wait, so older questions are void. */
+constexpr auto waiting_peer_lifetime = milliseconds{2000};
 /** Delay after a failed write of a record. */
 constexpr auto write_retry_delay = milliseconds{700};
 /** How long a stopping holder waits for the responses to its orders before it releases the domain: longer
@@ -69,7 +74,7 @@
                                                      state.settings.link_mbps},
                                                     state.settings.data_centre.text(),
                                                     state.settings.succession},
-      plan_timer_{context} {
+      plan_timer_{context}, announcement_timer_{context} {
     planner_.set_usage_function(
         [](const backend& server, const adapter_ref& ref) { return server.is_in_use(ref); });
 }
@@ -373,14 +378,9 @@
     } else if (message.has_store_update() && is_from_holder(message)) {
         on_store_update(message.store_update());
     } else if (message.has_weights_wanted()) {
-        on_weights_wanted(message.weights_wanted());
+        on_weights_wanted(from, message.weights_wanted());
     } else if (message.has_weights_held()) {
-        on_weights_held(message);
-        if (sender->data_centre != state_.settings.data_centre) {
-            protocol::Envelope relayed;
-            *relayed.mutable_weights_held() = message.weights_held();
-            peers_.send_to_data_centre(relayed);
-        }
+        on_weights_held(message, sender->data_centre != state_.settings.data_centre);
     }
 }
 
@@ -416,13 +416,15 @@
     peers_.send_to_data_centre(message);
 }
 
-void order_coordinator::on_weights_wanted(const protocol::WeightsWanted& message) {
+void order_coordinator::on_weights_wanted(const instance_name& from, const protocol::WeightsWanted& message) {
     const backend* server = state_.directory.find(server_name{message.server()});
     const bool is_listed_start = server != nullptr && server->listing.started_at == message.started_at();
     if (!is_listed_start || !holds_domain() || is_stopped_) {
         return;
     }
-    add_weights_request(*server, to_ref(message.weights()), message.was_refused());
+    const adapter_ref ref = to_ref(message.weights());
+    peers_waiting_for_weights_[server->listing.name][{from, ref}] = state_.now();
+    add_weights_request(*server, ref, message.was_refused());
 }
 
 void order_coordinator::add_weights_request(const backend& server, const adapter_ref& ref, bool was_refused) {
@@ -434,46 +436,92 @@
     issue_orders();
 }
 
-void order_coordinator::on_weights_held(const protocol::Envelope& envelope) {
-    const protocol::WeightsHeld& message = envelope.weights_held();
-    const server_name server{message.server()};
-    const backend* known = state_.directory.find(server);
-    const bool is_managed_here = known != nullptr && known->listing.zone == state_.settings.data_centre;
-    if (is_managed_here && !is_from_holder(envelope)) {
-        return; // A former holder may not know the latest orders.
-    }
-    held_weights weights;
-    for (const auto& ref : message.weights()) {
-        if (ref.adapter().empty()) {
-            weights.models[ref.model()] = ref.version();
-        } else {
-            weights.adapters[to_ref(ref)] = ref.version();
+void order_coordinator::on_weights_held(const protocol::Envelope& envelope, bool is_from_other_data_centre) {
+    for (const protocol::ServerWeights& message : envelope.weights_held().servers()) {
+        const server_name server{message.server()};
+        const backend* known = state_.directory.find(server);
+        const bool is_managed_here = known != nullptr && known->listing.zone == state_.settings.data_centre;
+        if (is_managed_here && !is_from_holder(envelope)) {
+            continue; // A former holder may not know the latest orders.
+        }
+        if (!state_.directory.on_weights_reported(server, message.started_at(), message.sequence(),
+                                                  to_held_weights(message), state_.now())) {
+            continue;
         }
-    }
-    if (state_.directory.on_weights_reported(server, message.started_at(), message.sequence(),
-                                             std::move(weights), state_.now())) {
         wake_waiters(server);
+        if (is_from_other_data_centre && holds_domain()) {
+            announce_weights(server);
+        }
     }
 }
 
 void order_coordinator::publish_weights(const backend& server) {
+    send_weights_to_waiting_peers(server);
+    announce_weights(server.listing.name);
+    wake_waiters(server.listing.name);
+}
+
+void order_coordinator::send_weights_to_waiting_peers(const backend& server) {
+    const auto waiting = peers_waiting_for_weights_.find(server.listing.name);
+    if (waiting == peers_waiting_for_weights_.end()) {
+        return;
+    }
     protocol::Envelope message;
-    protocol::WeightsHeld& held = *message.mutable_weights_held();
-    held.set_server(server.listing.name.text());
-    held.set_started_at(server.listing.started_at);
-    held.set_sequence(server.order_sequence.value_or(0));
-    for (const auto& [model, version] : server.listing.weights.models) {
-        *held.add_weights() = to_message({model, ""}, version);
+    *message.mutable_weights_held()->add_servers() = to_server_weights(server);
+    std::set<instance_name> peers;
+    for (const auto& [request, asked_at] : waiting->second) {
+        peers.insert(request.first);
     }
-    for (const auto& [ref, version] : server.listing.weights.adapters) {
-        *held.add_weights() = to_message(ref, version);
+    for (const instance_name& peer : peers) {
+        peers_.send(peer, message);
     }
-    peers_.send_to_data_centre(message);
-    // The holder in each other data centre relays the message there.
-    for (const auto& [data_centre, holder] : remote_holders_) {
-        peers_.send(holder, message);
+    std::erase_if(waiting->second, [&](const auto& entry) {
+        const auto& [request, asked_at] = entry;
+        return server.listing.weights.version_of(request.second) ||
+               asked_at + waiting_peer_lifetime < state_.now();
+    });
+    if (waiting->second.empty()) {
+        peers_waiting_for_weights_.erase(waiting);
+    }
+}
+
+void order_coordinator::announce_weights(const server_name& server) {
+    const bool is_scheduled = !unannounced_weights_.empty();
+    unannounced_weights_.insert(server);
+    if (is_scheduled) {
+        return;
+    }
+    announcement_timer_.expires_after(weights_announcement_interval);
+    announcement_timer_.async_wait([this](boost::system::error_code code) {
+        if (!code) {
+            send_weights_announcement();
+        }
+    });
+}
+
+void order_coordinator::send_weights_announcement() {
+    protocol::Envelope to_data_centre;
+    protocol::Envelope to_other_holders;
+    for (const server_name& name : std::exchange(unannounced_weights_, {})) {
+        const backend* server = state_.directory.find(name);
+        if (server == nullptr) {
+            peers_waiting_for_weights_.erase(name);
+            continue;
+        }
+        const protocol::ServerWeights weights = to_server_weights(*server);
+        if (server->listing.zone == state_.settings.data_centre) {
+            *to_other_holders.mutable_weights_held()->add_servers() = weights;
+        }
+        *to_data_centre.mutable_weights_held()->add_servers() = weights;
+    }
+    if (to_data_centre.has_weights_held()) {
+        peers_.send_to_data_centre(to_data_centre);
+    }
+    if (to_other_holders.has_weights_held()) {
+        for (const auto& [data_centre, holder] : remote_holders_) {
+            peers_.send(holder, to_other_holders);
+        }
     }
-    wake_waiters(server.listing.name);
 }
 
 // Weights that requests need
