Requests don't begin on an old version after their wait in a queue

The registry allowed the older version for half of the limit and left out the wait.

A request for a newer version makes the planner load it also while other requests may still use the older one.

--- a/modules/gateway/gateway_state.cpp
+++ b/modules/gateway/gateway_state.cpp
@@ -10,7 +10,7 @@
       store{platform.store}, selector{settings.selector,
                                       [this](const data_centre_name& name) { return is_local(name); }} {
     retries.set_allowance(settings.retries);
-    versions.set_grace(settings.version_limit / 2);
+    versions.set_limit(settings.version_limit);
 }
 
 bool gateway_state::is_local(const data_centre_name& data_centre) const {
--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -352,7 +352,8 @@
     parameters.remaining = deadline_ - state_.now();
     if (work_.needs_weights()) {
         parameters.priority = route_->priority;
-        parameters.version = state_.versions.required(work_.weights, state_.now());
+        parameters.version =
+            state_.versions.required(work_.weights, state_.now(), server.observed_wait(state_.now()));
     }
     parameters.resume_after = resume_after_;
     state_.codec.append_parameters(head, parameters);
@@ -374,9 +375,10 @@
         pool_.release(listing, connection, state_.now());
         co_return attempt_outcome::not_sent;
     }
+    const time_point sent_at = state_.now();
     connection->send(make_request_head(server), exchange_.body());
     used_connections_.push_back(connection);
-    state_.directory.on_sent(listing.name, state_.now());
+    state_.directory.on_sent(listing.name, sent_at);
     time_point limit = deadline_;
     if (route_->is_idempotent() && possible_runs_ + 1 < route_->max_attempts) {
         limit = std::min(limit, state_.now() + route_->latency_target * retry_after_latency_targets);
@@ -384,6 +386,9 @@
     response_attributes attributes;
     const auto head = co_await read_matching_head(connection, listing, limit, attributes);
     state_.directory.on_response_started(listing.name, listing.started_at, state_.now());
+    if (head && !attributes.is_not_run) {
+        state_.directory.on_wait_observed(listing.name, state_.now() - sent_at, state_.now());
+    }
     if (!head) {
         connection->abort();
         ++possible_runs_;
--- a/modules/serving/adapter_planner.cpp
+++ b/modules/serving/adapter_planner.cpp
@@ -199,14 +199,15 @@
 
 std::optional<adapter_ref> adapter_planner::oldest_load_request(const server_plan& plan,
                                                                 const backend& server,
-                                                                const version_registry& versions,
-                                                                time_point now) const {
+                                                                const version_registry& versions) const {
     std::optional<adapter_ref> oldest;
     time_point oldest_time{};
     for (const auto& [ref, request] : plan.load_requests) {
         const auto held = plan.weights.version_of(ref);
-        const auto required = versions.required(ref, now);
-        const bool is_outdated = held && required && *held < *required;
+        // Gateways ask for a newer version as soon as their requests need it, which is not the same time at
+        // each of them.
+        const auto newest = versions.newest(ref);
+        const bool is_outdated = held && newest && *held < *newest;
         // A repeated load of an adapter that the directory lacks, such as after a refused request, makes the
         // server load it or confirm that it is loaded.
         const bool is_usable = held && !is_outdated && server.listing.weights.version_of(ref);
@@ -229,7 +230,7 @@
     if (plan.loads_in_progress.size() >= settings_.loads_per_server) {
         return std::nullopt;
     }
-    const auto ref = oldest_load_request(plan, server, versions, now);
+    const auto ref = oldest_load_request(plan, server, versions);
     if (!ref) {
         return std::nullopt;
     }
--- a/modules/serving/include/lovageledge/serving/adapter_planner.hpp
+++ b/modules/serving/include/lovageledge/serving/adapter_planner.hpp
@@ -171,7 +171,7 @@
                                              time_point now);
     std::optional<weights_order> plan_check(server_plan& plan, const backend& server, time_point now) const;
     std::optional<adapter_ref> oldest_load_request(const server_plan& plan, const backend& server,
-                                                   const version_registry& versions, time_point now) const;
+                                                   const version_registry& versions) const;
     std::optional<weights_order> plan_model(server_plan& plan, const backend& server,
                                             const engine_spec& engine, time_point now);
     std::optional<weights_order> plan_load(server_plan& plan, const backend& server,
--- a/modules/serving/include/lovageledge/serving/version_registry.hpp
+++ b/modules/serving/include/lovageledge/serving/version_registry.hpp
@@ -16,23 +16,27 @@
 */
 class version_registry {
 public:
-    /** Sets how long an older version may be used after this instance has learned of a newer one. */
-    void set_grace(duration grace) { grace_ = grace; }
+    /** Sets how long after this instance has learned of a newer version a request may begin to run on an
+       older one. Requests are sent to the older one for half of it at most. */
+    void set_limit(duration limit) { limit_ = limit; }
 
     /** Processes an announcement. @returns true if the version is newer than the known one */
     bool on_announced(const adapter_ref& ref, std::uint64_t version, time_point now);
 
     /** @returns the newest announced version, or nothing if none was announced */
     std::optional<std::uint64_t> newest(const adapter_ref& ref) const;
-    /** @returns the oldest version that requests may run on, or nothing while any version is allowed */
-    std::optional<std::uint64_t> required(const adapter_ref& ref, time_point now) const;
+    /** @param expected_wait time that the request is expected to wait at the server before it begins to run
+        @returns the oldest version that a request sent now may run on, or nothing while any version is
+        allowed */
+    std::optional<std::uint64_t> required(const adapter_ref& ref, time_point now,
+                                          duration expected_wait = duration::zero()) const;
 
 private:
     struct announcement {
         std::uint64_t version = 0;
         time_point learned_at{};
     };
-    duration grace_ = std::chrono::milliseconds{2500};
+    duration limit_ = std::chrono::milliseconds{5000};
     std::map<adapter_ref, announcement> announcements_;
 };
 
