--- a/modules/serving/adapter_planner.cpp
+++ b/modules/serving/adapter_planner.cpp
@@ -87,6 +87,7 @@
         auto order = plan_server(*plan, server, engine, versions, now);
         if (order) {
             plan->is_awaiting_response = true;
+            plan->last_sent_at = now;
             orders.push_back(std::move(*order));
         }
     }
@@ -252,10 +253,9 @@
     server_plan& plan = found->second;
     plan.is_awaiting_response = false;
     if (outcome == order_outcome::unknown) {
-        plan.retry_at = now + refusal_backoff;
         // The order may be executed later, but never after a newer one, because of its expected sequence.
         plan.needs_report = true;
-        plan.last_accepted_at = now;
+        plan.last_accepted_at = std::max(plan.last_accepted_at, plan.last_sent_at);
         return false;
     }
     if (order.is_check && order.weights.is_base() && outcome == order_outcome::conflict) {
--- a/modules/serving/adapter_planner_test.cpp
+++ b/modules/serving/adapter_planner_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(refused_use_requires_a_report);
     CPPUNIT_TEST(used_slots_include_loads_in_progress);
     CPPUNIT_TEST(lost_response_requires_a_report_before_the_next_order);
+    CPPUNIT_TEST(report_is_due_soon_after_an_order_that_was_not_answered);
     CPPUNIT_TEST(every_order_carries_the_sequence_it_was_decided_on);
     CPPUNIT_TEST(report_with_a_lower_sequence_is_accepted);
     CPPUNIT_TEST(restarted_server_loads_its_base_model_and_is_checked);
@@ -235,6 +236,17 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, *orders().at(0).expected_sequence);
     }
 
+    // Reports lag behind the server, not behind the time limit of an order.
+    void report_is_due_soon_after_an_order_that_was_not_answered() {
+        receive_first_report();
+        planner_.on_load_requested(name_, ref("a1"), now_);
+        const auto order = orders().at(0);
+        now_ += milliseconds{500};
+        planner_.on_outcome(directory_, order, order_outcome::unknown, now_);
+        CPPUNIT_ASSERT(orders().empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, report_requests().size());
+    }
+
     // An order or a check that is executed late must be refused because the sequence has changed.
     void every_order_carries_the_sequence_it_was_decided_on() {
         receive_first_report(3);
--- a/modules/serving/include/lovageledge/serving/adapter_planner.hpp
+++ b/modules/serving/include/lovageledge/serving/adapter_planner.hpp
@@ -153,6 +153,8 @@
         bool needs_report = true;
         /** When the last order was accepted, or may have been. Reports lag behind it. */
         time_point last_accepted_at{};
+        /** When the order without an answer was sent. */
+        time_point last_sent_at{};
         /** When the load of each adapter was first and last requested. */
         std::map<adapter_ref, std::pair<time_point, time_point>> load_requests;
         std::map<adapter_ref, time_point> last_used;
