A holder on the only machine that ever held a domain waits for no lease

Cause: where servers don't check fences, a new holder waited order_lease before its first order, also the first holder of all and a restarted instance that had held the domain alone.

Change: the record says whether another machine has ever held the domain, and the address of the holder's machine. Without one there are no orders of two holders that could take turns. A holder of the same name at another address, and one that follows another machine, wait as before.

Tests: three in order_succession_test; the first failed before.

--- a/modules/gateway/order_coordinator.cpp
+++ b/modules/gateway/order_coordinator.cpp
@@ -71,7 +71,7 @@
                     planner_.on_used(server, ref, state_.now());
                 }},
       planner_{state.settings.planner}, succession_{{state.settings.name, state.settings.start,
-                                                     state.settings.link_mbps},
+                                                     state.settings.link_mbps, state.settings.peer_address},
                                                     state.settings.data_centre.text(),
                                                     state.settings.succession},
       plan_timer_{context}, announcement_timer_{context} {
@@ -213,8 +213,9 @@
         remote_holders_[data_centre] = instance_name{message.holder()};
         return;
     }
-    const order_domain_record record{instance_name{message.holder()}, start_id{message.start()},
-                                     message.fence(), message.predecessor_stopped()};
+    const order_domain_record record{
+        instance_name{message.holder()}, start_id{message.start()}, message.fence(),
+        message.predecessor_stopped(),   message.address(),         message.only_machine()};
     const order_domain_record former = succession_.record();
     const bool was_holder = holds_domain();
     if (requested_at) {
@@ -289,6 +290,8 @@
     message.set_start(write.record.start.text());
     message.set_fence(write.record.fence);
     message.set_predecessor_stopped(write.record.has_predecessor_stopped);
+    message.set_address(write.record.address);
+    message.set_only_machine(write.record.is_only_machine);
     const time_point requested_at = succession_time();
     const write_result result = co_await state_.platform.write_record(domain_record_name(), to_json(message),
                                                                       write.required_revision);
--- a/modules/serving/include/lovageledge/serving/order_succession.hpp
+++ b/modules/serving/include/lovageledge/serving/order_succession.hpp
@@ -18,6 +18,10 @@
     std::uint64_t fence = 0;
     /** The holders before this one have certainly stopped sending orders. */
     bool has_predecessor_stopped = false;
+    /** The holder's address, which tells its machine from another one with the same name. */
+    std::string address;
+    /** No other machine has ever held the domain, so that there is nobody's lease to wait for. */
+    bool is_only_machine = false;
 
     bool operator==(const order_domain_record&) const = default;
 };
@@ -29,6 +33,7 @@
     /** Bandwidth of its network link, in Mbit/s; 0 if unknown. A holder sends much more than other instances,
         so the one with the largest link is preferred. */
     double link_mbps = 0.0;
+    std::string address;
 };
 
 /** Time limits of the succession of holders. */
--- a/modules/serving/order_succession.cpp
+++ b/modules/serving/order_succession.cpp
@@ -56,7 +56,8 @@
     }
     if (record_.has_predecessor_stopped) {
         predecessor_stopped_at_ = now;
-        orders_from_ = settings_.servers_check_fences ? now : now + settings_.order_lease;
+        const bool must_wait = !settings_.servers_check_fences && !record_.is_only_machine;
+        orders_from_ = must_wait ? now + settings_.order_lease : now;
         return;
     }
     // The former holder was confirmed by this instance, or by a read of the record, for the last time before
@@ -166,6 +167,9 @@
     write.record.fence = highest_fence_ + 1;
     write.record.has_predecessor_stopped =
         is_first || ((record_.holder.is_empty() || is_former_run) && record_.has_predecessor_stopped);
+    write.record.address = self_.address;
+    write.record.is_only_machine =
+        is_first || (is_former_run && record_.is_only_machine && record_.address == self_.address);
     if (revision_ != 0) {
         write.required_revision = revision_;
     }
--- a/modules/serving/order_succession_test.cpp
+++ b/modules/serving/order_succession_test.cpp
@@ -50,6 +50,9 @@
     CPPUNIT_TEST(holder_without_confirmation_is_replaced);
     CPPUNIT_TEST(released_domain_passes_on_without_delay);
     CPPUNIT_TEST(released_domain_waits_for_the_lease_if_servers_do_not_check_fences);
+    CPPUNIT_TEST(first_holder_and_its_restarts_wait_for_nobody);
+    CPPUNIT_TEST(holder_of_the_same_name_on_another_machine_waits);
+    CPPUNIT_TEST(holder_that_follows_another_machine_waits_after_a_restart_too);
     CPPUNIT_TEST(release_does_not_shorten_the_wait_for_an_earlier_holder);
     CPPUNIT_TEST(restarted_holder_continues_at_once);
     CPPUNIT_TEST(restart_does_not_shorten_the_wait_for_an_earlier_holder);
@@ -93,6 +96,27 @@
         return is_confirmed;
     }
 
+    /** The first holder of a domain whose servers do not check fences. */
+    order_succession make_sole_holder(const std::string& address) {
+        succession_settings settings;
+        settings.servers_check_fences = false;
+        order_succession holder{{instance_name{"a"}, start_id{"1"}, 0.0, address}, key, settings};
+        holder.start(start_);
+        claim(holder, start_);
+        return holder;
+    }
+
+    /** The next run of make_sole_holder()'s instance. */
+    order_succession restart(const std::string& address, time_point now) {
+        succession_settings settings;
+        settings.servers_check_fences = false;
+        order_succession restarted{{instance_name{"a"}, start_id{"2"}, 0.0, address}, key, settings};
+        restarted.start(now);
+        read(restarted, now);
+        claim(restarted, now);
+        return restarted;
+    }
+
     /** Two instances, of which "a" is the holder and "b" knows that. */
     std::pair<order_succession, order_succession> make_pair_with_holder(succession_settings settings = {}) {
         std::pair<order_succession, order_succession> both{make_instance("a", {"b"}, settings),
@@ -250,6 +274,36 @@
         CPPUNIT_ASSERT(b.may_order(claimed + settings_.order_lease));
     }
 
+    void first_holder_and_its_restarts_wait_for_nobody() {
+        order_succession first = make_sole_holder("10.0.0.1:1");
+        CPPUNIT_ASSERT(first.may_order(start_));
+        const time_point now = start_ + seconds{5};
+        CPPUNIT_ASSERT(restart("10.0.0.1:1", now).may_order(now));
+    }
+
+    void holder_of_the_same_name_on_another_machine_waits() {
+        make_sole_holder("10.0.0.1:1");
+        const time_point now = start_ + seconds{5};
+        const order_succession replacement = restart("10.0.0.2:1", now);
+        CPPUNIT_ASSERT(!replacement.may_order(now));
+    }
+
+    void holder_that_follows_another_machine_waits_after_a_restart_too() {
+        succession_settings settings;
+        settings.servers_check_fences = false;
+        auto [a, b] = make_pair_with_holder(settings);
+        const time_point now = start_ + seconds{5};
+        a.end();
+        stored_.write(*a.release(now));
+        b.on_record(stored_.record, stored_.revision, now);
+        const time_point restarted_at = tick_until_claim(b, now) + milliseconds{100};
+        order_succession restarted = make_instance("b", {"a"}, settings, "2");
+        restarted.start(restarted_at);
+        read(restarted, restarted_at);
+        claim(restarted, restarted_at);
+        CPPUNIT_ASSERT(!restarted.may_order(restarted_at));
+    }
+
     // The holder before the one that releases the domain may have sent orders until just before.
     void release_does_not_shorten_the_wait_for_an_earlier_holder() {
         auto [a, b] = make_pair_with_holder();
