Gateways that start together wait a second for a holder before they watch

Cause: after the lists, each of 195 gateways watched three kinds until the holder's first heartbeat arrived, and again whenever heartbeats were missing for 0.6 s.

The loss of the store is noticed after 3.1 s at most, within the 3.5 s from which gateways rely on a holder. Deployments with stricter limits watch as before.

Tests: two in store_watch_policy_test.

--- a/modules/gateway/include/lovageledge/gateway/gateway.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway.hpp
@@ -51,6 +51,8 @@
     void on_store_read(const store_update& update) { coordinator_.relay_store_update(update); }
     /** @returns true if other gateways rely on the store updates that this one relays */
     bool relays_store_updates() const { return coordinator_.relays_store_updates(); }
+    /** @returns true if the limits allow this gateway to rely on store updates that the holder relays */
+    bool may_rely_on_holder() const { return coordinator_.may_rely_on_holder(); }
     /** Logs an entry of the store that can't be used. */
     void on_rejected_entry(const std::string& entry, const std::string& reason);
 
--- a/modules/gateway/include/lovageledge/gateway/order_coordinator.hpp
+++ b/modules/gateway/include/lovageledge/gateway/order_coordinator.hpp
@@ -55,6 +55,8 @@
     void on_servers_changed();
     /** @returns true if this gateway is the holder and its peers rely on the store updates that it relays */
     bool relays_store_updates() const;
+    /** @returns true if the limits allow gateways to rely on store updates that the holder relays */
+    bool may_rely_on_holder() const;
     /** Sends changes read from the store to the peers, if this gateway relays store updates. */
     void relay_store_update(const store_update& update);
 
--- a/modules/gateway/order_coordinator.cpp
+++ b/modules/gateway/order_coordinator.cpp
@@ -32,7 +32,7 @@
 
 /** A holder relays store updates if its data centre has at least this many other gateways. */
 constexpr std::size_t min_peers_to_relay = 3;
-/** It takes 2.4 s to notice that the holder has lost the store. With a shorter leaving limit than this, each
+/** It takes 3.1 s to notice that the holder has lost the store. With a shorter leaving limit than this, each
     gateway reads the store itself. */
 constexpr auto min_leaving_limit_to_relay = milliseconds{3500};
 
@@ -403,7 +403,11 @@
 
 bool order_coordinator::relays_store_updates() const {
     return holds_domain() && !is_stopped_ && peers_.count_local_peers() >= min_peers_to_relay &&
-           state_.settings.leaving_limit >= min_leaving_limit_to_relay;
+           may_rely_on_holder();
+}
+
+bool order_coordinator::may_rely_on_holder() const {
+    return state_.settings.leaving_limit >= min_leaving_limit_to_relay;
 }
 
 void order_coordinator::relay_store_update(const store_update& update) {
--- a/modules/serving/include/lovageledge/serving/store_watch_policy.hpp
+++ b/modules/serving/include/lovageledge/serving/store_watch_policy.hpp
@@ -59,6 +59,11 @@
         @returns the time until which no watch of the kind is needed, or nothing if one is needed now */
     std::optional<time_point> covered_until(const std::string& kind, std::uint64_t revision,
                                             time_point now) const;
+    /** As covered_until(), but also gives the holder some time to announce itself after a kind was listed, so
+        that the gateways that start together do not all watch the store.
+        @param listed_at when the kind was listed; unset if it must be watched until it is covered */
+    std::optional<time_point> suspended_until(const std::string& kind, std::uint64_t revision,
+                                              std::optional<time_point> listed_at, time_point now) const;
     /** @param revision the revision up to which this gateway knows the update's kind
         @returns what to do with the update. Thread-safe. */
     static update_action action_for(const store_update& update, std::uint64_t revision);
--- a/modules/serving/store_watch_policy_test.cpp
+++ b/modules/serving/store_watch_policy_test.cpp
@@ -17,8 +17,28 @@
     CPPUNIT_TEST(update_with_a_gap_before_it_is_not_applied);
     CPPUNIT_TEST(own_work_is_not_counted_twice);
     CPPUNIT_TEST(difference_from_older_totals_is_never_negative);
+    CPPUNIT_TEST(listed_kind_waits_a_second_for_the_holder);
+    CPPUNIT_TEST(holder_that_has_read_more_is_not_waited_for);
     CPPUNIT_TEST_SUITE_END();
 
+    void listed_kind_waits_a_second_for_the_holder() {
+        const time_point listed{std::chrono::seconds{50}};
+        store_watch_policy policy{milliseconds{600}};
+        CPPUNIT_ASSERT(policy.suspended_until("k", 5, listed, listed) == listed + milliseconds{1000});
+        CPPUNIT_ASSERT(!policy.suspended_until("k", 5, listed, listed + milliseconds{1000}));
+        CPPUNIT_ASSERT(!policy.suspended_until("k", 5, std::nullopt, listed));
+        policy.on_positions({{"k", 5}}, listed + milliseconds{900});
+        CPPUNIT_ASSERT(policy.suspended_until("k", 5, listed, listed + milliseconds{1100}) ==
+                       listed + milliseconds{1500});
+    }
+
+    void holder_that_has_read_more_is_not_waited_for() {
+        const time_point listed{std::chrono::seconds{50}};
+        store_watch_policy policy{milliseconds{600}};
+        policy.on_positions({{"k", 6}}, listed);
+        CPPUNIT_ASSERT(!policy.suspended_until("k", 5, listed, listed + milliseconds{100}));
+    }
+
     const time_point now_{seconds{100}};
     const duration validity_ = milliseconds{600};
     store_watch_policy policy_{validity_};
