--- a/tests/soak/server.py
+++ b/tests/soak/server.py
@@ -6,6 +6,8 @@
 from order_history import Order
 
 ADAPTER_SLOTS = 4
+PAUSE_SLACK_S = 0.5  # Requests that were on their way when a gateway was asked for a pause may arrive this long after.
+MAX_LATE_ARRIVALS = 2  # Requests of one gateway that may arrive in the rest of a pause.
 LOAD_TIME_S = 0.1
 
 
@@ -35,6 +37,10 @@
         self.responses_to_truncate = 0
         self.order_delay_s = 0.0
         self.writers = set()
+        self.announces_leaving = False
+        self.leaving_told_at = {}  # When a gateway first got an answer that announces the leaving, by gateway.
+        self.pause_s = 0.0         # Requests are refused with the wish for a pause of this length.
+        self.pauses = {}           # Begin and end of the pause and arrivals in it, by gateway.
 
     def entry(self, address, state="ready"):
         models = [{"name": "base", "version": 1, "adapters": [f"{a}@{v}" for a, v in self.adapters.items()]}] if self.is_engine else []
@@ -117,6 +123,14 @@
 
     async def _handle_request(self, writer, method, path, headers, body):
         request_id = headers.get("x-request-id", "")
+        gateway, sent_at = self.observations.entries.get(request_id, (None, 0.0))
+        self.check_notices(request_id, gateway, sent_at)
+        if self.pause_s:
+            self.pauses.setdefault(gateway, [time.monotonic(), time.monotonic() + self.pause_s, 0])
+            await self._respond(writer, headers, 503, {}, ["X-Not-Executed: 1", f"Retry-After: {self.pause_s}"])
+            return
+        if self.announces_leaving:
+            self.leaving_told_at.setdefault(gateway, time.monotonic() + 1.0)  # The request may take this long.
         adapter = headers.get("x-model", "").partition("/")[2]
         if headers.get("x-expect-instance", self.name) != self.name or (self.is_engine and adapter not in self.adapters):
             await self._respond(writer, headers, 421, {}, [f"X-Instance-Id: {self.name}"])
@@ -139,6 +153,21 @@
                 self.pending_unloads.discard(adapter)
                 self.adapters.pop(adapter, None)
 
+    def check_notices(self, request_id, gateway, sent_at):
+        """Reports a request that arrives although the server has told its gateway to send none."""
+        told_at, now = self.leaving_told_at.get(gateway), time.monotonic()
+        if told_at and sent_at > told_at + self.observations.announced_leaving_limit_s:
+            self.observations.violations.append(f"{self.name} got {request_id} of gateway {gateway} that was sent "
+                                                f"{sent_at - told_at:.1f} s after the server had announced its leaving to it")
+        pause = self.pauses.get(gateway)
+        if pause and pause[0] + PAUSE_SLACK_S < now < pause[1]:
+            pause[2] += 1
+            if pause[2] > MAX_LATE_ARRIVALS:
+                self.observations.violations.append(f"{self.name} got {pause[2]} requests of gateway {gateway} in a pause")
+
+    def leaving_header(self):
+        return "Server-Leaving: 1\r\n" if self.announces_leaving else ""
+
     async def _plain(self, writer, headers, request_id, body):
         await asyncio.sleep(0.03)
         if self.responses_to_drop > 0:
@@ -150,12 +179,13 @@
             writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 9999\r\n\r\nhalf")
             raise ConnectionResetError
         writer.write(f"HTTP/1.1 200 X\r\nX-Request-Id: {request_id}\r\nX-Response-Seal: {request_id}\r\nX-Server-Load: {self.running},0,8\r\n"
+                     f"{self.leaving_header()}"
                      f"Content-Length: {len(text)}\r\n\r\n".encode() + text)
         await writer.drain()
 
     async def _stream(self, writer, headers, request_id, body):
         writer.write(f"HTTP/1.1 200 X\r\nX-Request-Id: {request_id}\r\nX-Response-Seal: {request_id}\r\nContent-Type: text/event-stream\r\n"
-                     "Transfer-Encoding: chunked\r\n\r\n".encode())
+                     f"{self.leaving_header()}Transfer-Encoding: chunked\r\n\r\n".encode())
         for number in range(1, 9):
             await asyncio.sleep(0.03)
             event = f"id: {number}\ndata: {request_id}\n\n".encode()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -43,6 +43,8 @@
     def __init__(self):
         self.runs, self.violations, self.requests, self.history = {}, [], {}, OrderHistory()
         self.leaving_limit_s = LEAVING_LIMIT_S + RECOVERY_LIMIT_S
+        self.announced_leaving_limit_s = LEAVING_LIMIT_S
+        self.entries = {}  # The gateway that a request was sent to, and when, by request id.
 
     def record_run(self, request_id, server, service, path, body):
         self.runs.setdefault(request_id, []).append(server)
@@ -210,6 +212,7 @@
             lines.append(f"Content-Length: {len(body)}")
         request = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
         started = time.monotonic()
+        self.observations.entries[request_id] = (index, started)
         try:
             async with asyncio.timeout(6.0):
                 status, headers, response = await self.send_and_receive(reader, writer, request)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -36,6 +36,24 @@
         self.observations.record_run("a", "s1", "plain", "/book/x", b"other")
         self.assert_broken("another path or body")
 
+    def test_request_after_an_announced_leaving(self):
+        server, now = Server("s1", "plain", False, self.observations), time.monotonic()
+        server.leaving_told_at[0] = now - 10.0
+        server.check_notices("a", 1, now)
+        server.check_notices("a", 0, now - 6.5)
+        self.assertEqual([], self.observations.violations)
+        server.check_notices("a", 0, now)
+        self.assert_broken("after the server had announced its leaving")
+
+    def test_requests_in_a_pause(self):
+        server, now = Server("s1", "plain", False, self.observations), time.monotonic()
+        server.pauses[0] = [now - 1.0, now + 1.0, 0]
+        for gateway in (0, 0, 1, 1, 1):
+            server.check_notices("a", gateway, now)
+        self.assertEqual([], self.observations.violations)
+        server.check_notices("a", 0, now)
+        self.assert_broken("in a pause")
+
     def order(self, at, holder, fence, server="s1", zone="north-1"):
         self.observations.history.orders.append(Order(at, holder, fence, server, 1, zone))
 
