A request that may begin after a version's limit needs the new version

The gateway had not seen such a wait at that server: with 83 gateways, each sees few of a server's waits. Observed waits don't bound the next one.

Change: a request may wait until its deadline. It goes to an older version only if its deadline, or half of the limit, comes first.

--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -212,6 +212,7 @@
 asio::awaitable<std::optional<server_choice>> request_handler::select_server() {
     while (has_time_left()) {
         const time_point now = state_.now();
+        work_.longest_wait = deadline_ - now;
         auto choice = state_.selector.pick(state_.directory, state_.versions, work_, now);
         if (!choice) {
             if (co_await wait_for_pause_end()) {
@@ -352,8 +353,7 @@
     parameters.remaining = deadline_ - state_.now();
     if (work_.needs_weights()) {
         parameters.priority = route_->priority;
-        parameters.version =
-            state_.versions.required(work_.weights, state_.now(), server.observed_wait(state_.now()));
+        parameters.version = state_.versions.required(work_.weights, state_.now(), parameters.remaining);
     }
     parameters.resume_after = resume_after_;
     state_.codec.append_parameters(head, parameters);
@@ -375,10 +375,9 @@
         pool_.release(listing, connection, state_.now());
         co_return attempt_outcome::not_sent;
     }
-    const time_point sent_at = state_.now();
     connection->send(make_request_head(server), exchange_.body());
     used_connections_.push_back(connection);
-    state_.directory.on_sent(listing.name, sent_at);
+    state_.directory.on_sent(listing.name, state_.now());
     time_point limit = deadline_;
     if (route_->is_idempotent() && possible_runs_ + 1 < route_->max_attempts) {
         limit = std::min(limit, state_.now() + route_->latency_target * retry_after_latency_targets);
@@ -386,9 +385,6 @@
     response_attributes attributes;
     const auto head = co_await read_matching_head(connection, listing, limit, attributes);
     state_.directory.on_response_started(listing.name, listing.started_at, state_.now());
-    if (head && !attributes.is_not_run) {
-        state_.directory.on_wait_observed(listing.name, state_.now() - sent_at, state_.now());
-    }
     if (!head) {
         connection->abort();
         ++possible_runs_;
--- a/modules/serving/backend_directory.cpp
+++ b/modules/serving/backend_directory.cpp
@@ -21,8 +21,6 @@
 /** How long a server that refused a request as full is avoided; about the duration of a few requests. */
 constexpr auto full_server_backoff = std::chrono::milliseconds{100};
 
-/** How long a request's wait at a server tells what the next ones must expect. */
-constexpr auto wait_lifetime = std::chrono::seconds{3};
 /** How long a server is preferred less after a pause that it asked for. */
 constexpr auto backoff_after_pause = std::chrono::milliseconds{300};
 
@@ -41,13 +39,6 @@
     return avoid_until > now || (unanswered > 0 && now - last_progress_at > stall_timeout);
 }
 
-duration backend::observed_wait(time_point now) const {
-    const bool is_recent = longest_wait_at + wait_lifetime >= now;
-    const duration answered = is_recent ? longest_wait : duration::zero();
-    const duration unanswered_for = unanswered > 0 ? now - last_progress_at : duration::zero();
-    return std::max(answered, unanswered_for);
-}
-
 std::uint32_t backend::avoided_by_others() const {
     std::uint32_t total = 0;
     for (const auto& [peer, work] : peer_work) {
@@ -252,16 +243,6 @@
     }
 }
 
-void backend_directory::on_wait_observed(const server_name& name, duration wait, time_point now) {
-    backend* server = find(name);
-    const bool is_longest =
-        server != nullptr && (wait >= server->longest_wait || server->longest_wait_at + wait_lifetime < now);
-    if (is_longest) {
-        server->longest_wait = wait;
-        server->longest_wait_at = now;
-    }
-}
-
 void backend_directory::on_success(const server_name& name) {
     backend* server = find(name);
     if (server != nullptr) {
--- a/modules/serving/include/lovageledge/serving/backend_directory.hpp
+++ b/modules/serving/include/lovageledge/serving/backend_directory.hpp
@@ -102,9 +102,6 @@
     std::uint32_t unanswered = 0;
     /** When a response last started, or when a request was sent while no other was unanswered. */
     time_point last_progress_at{};
-    /** The longest recent time from a request until its response started, and when that was seen. */
-    duration longest_wait{};
-    time_point longest_wait_at{};
     /** The server recently refused a request as full; other servers are preferred until this time. */
     time_point full_until{};
     /** When each prompt part was last sent to the server, by adapter and part id. */
@@ -118,8 +115,6 @@
     bool is_paused(time_point now) const { return paused_until > now; }
     /** @returns true if this instance avoids the server because it failed recently or seems to hang */
     bool is_avoided(time_point now) const;
-    /** @returns how long a request must be expected to wait until its response starts, by the recent ones */
-    duration observed_wait(time_point now) const;
     /** @returns the number of other gateways that avoid the server */
     std::uint32_t avoided_by_others() const;
     std::uint32_t total_in_flight() const;
@@ -177,8 +172,6 @@
     void on_sent(const server_name& name, time_point now);
     /** Counts a request as no longer unanswered: its response has started, or none is expected any more. */
     void on_response_started(const server_name& name, std::uint64_t started_at, time_point now);
-    /** Records how long a request waited at a server until its response started. */
-    void on_wait_observed(const server_name& name, duration wait, time_point now);
     /** Resets the failure count and the backoff. Call this when a server responds to a request it ran. */
     void on_success(const server_name& name);
     /** Avoids a full server for a short time. This does not count as a failure. */
--- a/modules/serving/include/lovageledge/serving/server_selector.hpp
+++ b/modules/serving/include/lovageledge/serving/server_selector.hpp
@@ -27,6 +27,8 @@
     adapter_ref weights;
     /** Adapter slots of each server of the service. */
     std::uint32_t adapter_slots_per_server = 0;
+    /** Time until the request's deadline: it begins to run until then or not at all. */
+    duration longest_wait{};
     /** Recent requests for the adapter at all gateways, estimated from this one's. @see demand_meter */
     double demand = 0.0;
     std::uint32_t prompt_tokens = 0;
--- a/modules/serving/include/lovageledge/serving/version_registry.hpp
+++ b/modules/serving/include/lovageledge/serving/version_registry.hpp
@@ -25,11 +25,12 @@
 
     /** @returns the newest announced version, or nothing if none was announced */
     std::optional<std::uint64_t> newest(const adapter_ref& ref) const;
-    /** @param expected_wait time that the request is expected to wait at the server before it begins to run
+    /** @param longest_wait time that the request may wait at a server before it begins to run, at most until
+        its deadline
         @returns the oldest version that a request sent now may run on, or nothing while any version is
         allowed */
     std::optional<std::uint64_t> required(const adapter_ref& ref, time_point now,
-                                          duration expected_wait = duration::zero()) const;
+                                          duration longest_wait = duration::zero()) const;
 
 private:
     struct announcement {
--- a/modules/serving/server_selector.cpp
+++ b/modules/serving/server_selector.cpp
@@ -81,7 +81,7 @@
         return true;
     }
     const auto held = server.listing.weights.version_of(request.weights);
-    const auto required = versions.required(request.weights, now, server.observed_wait(now));
+    const auto required = versions.required(request.weights, now, request.longest_wait);
     return held && (!required || *held >= *required);
 }
 
--- a/modules/serving/server_selector_test.cpp
+++ b/modules/serving/server_selector_test.cpp
@@ -17,8 +17,7 @@
     CPPUNIT_TEST(all_gateways_choose_the_same_home_for_a_first_load);
     CPPUNIT_TEST(cached_prompt_parts_attract_requests);
     CPPUNIT_TEST(required_version_excludes_servers_with_an_older_one);
-    CPPUNIT_TEST(older_version_is_excluded_earlier_at_a_server_with_a_long_queue);
-    CPPUNIT_TEST(requests_without_a_response_count_as_a_long_queue);
+    CPPUNIT_TEST(request_that_may_begin_after_the_limit_needs_the_new_version);
     CPPUNIT_TEST(server_without_base_model_or_excluded_is_not_chosen);
     CPPUNIT_TEST(failing_server_is_chosen_last);
     CPPUNIT_TEST(server_that_starts_no_response_is_avoided);
@@ -119,23 +118,16 @@
         CPPUNIT_ASSERT(server_selector::holds(loaded, versions_, make_request(), now_ + seconds{5}));
     }
 
-    // The request would begin on the older version only after the limit, 5 s after the announcement.
-    void older_version_is_excluded_earlier_at_a_server_with_a_long_queue() {
+    // It was sent 2.1 s after the announcement and began 3 s later, after the limit of 5 s.
+    void request_that_may_begin_after_the_limit_needs_the_new_version() {
         backend& loaded = add("holder", "here", true);
         versions_.on_announced(adapter_, 2, now_);
-        const time_point sent = now_ + milliseconds{2100};
-        CPPUNIT_ASSERT(server_selector::holds(loaded, versions_, make_request(), sent));
-        directory_.on_wait_observed(server_name{"holder"}, milliseconds{2900}, sent - milliseconds{500});
-        CPPUNIT_ASSERT(!server_selector::holds(loaded, versions_, make_request(), sent));
-        CPPUNIT_ASSERT(server_selector::holds(loaded, versions_, make_request(), now_));
-    }
-
-    void requests_without_a_response_count_as_a_long_queue() {
-        backend& loaded = add("holder", "here", true);
-        versions_.on_announced(adapter_, 2, now_);
-        directory_.on_sent(server_name{"holder"}, now_ - seconds{1});
-        CPPUNIT_ASSERT(server_selector::holds(loaded, versions_, make_request(), now_));
-        CPPUNIT_ASSERT(!server_selector::holds(loaded, versions_, make_request(), now_ + seconds{2}));
+        selection_request request = make_request();
+        request.longest_wait = seconds{6};
+        CPPUNIT_ASSERT(!server_selector::holds(loaded, versions_, request, now_));
+        request.longest_wait = seconds{3};
+        CPPUNIT_ASSERT(server_selector::holds(loaded, versions_, request, now_));
+        CPPUNIT_ASSERT(!server_selector::holds(loaded, versions_, request, now_ + milliseconds{2100}));
     }
 
     void server_without_base_model_or_excluded_is_not_chosen() {
--- a/modules/serving/version_registry.cpp
+++ b/modules/serving/version_registry.cpp
@@ -17,15 +17,15 @@
 }
 
 std::optional<std::uint64_t> version_registry::required(const adapter_ref& ref, time_point now,
-                                                        duration expected_wait) const {
+                                                        duration longest_wait) const {
     const auto known = announcements_.find(ref);
     if (known == announcements_.end()) {
         return std::nullopt;
     }
     const duration age = now - known->second.learned_at;
-    // This instance learns of a version some time after it was announced, and a queue may grow.
+    // This instance learns of a version some time after it was announced.
     const duration latest_begin = limit_ * 9 / 10;
-    const bool is_due = age >= limit_ / 2 || age + expected_wait * 3 / 2 >= latest_begin;
+    const bool is_due = age >= limit_ / 2 || age + longest_wait >= latest_begin;
     return is_due ? std::optional{known->second.version} : std::nullopt;
 }
 
