A request that needs a newer version is woken only when it is held

Cause: a request that waited for a newer version was woken by any change while the server held the older one, asked again at once, and was answered that the server holds the adapter: it span until its deadline, through the holder.

Change: waiters are woken, and questions answered at once, only if the newest announced version is held.

--- a/modules/gateway/order_coordinator.cpp
+++ b/modules/gateway/order_coordinator.cpp
@@ -437,7 +437,7 @@
 void order_coordinator::add_weights_request(const backend& server, const adapter_ref& ref, bool was_refused) {
     planner_.on_load_requested(server.listing.name, ref, state_.now());
     const bool needs_report = was_refused && planner_.on_use_refused(server.listing.name, ref, state_.now());
-    if (!needs_report && server.listing.weights.version_of(ref)) {
+    if (!needs_report && holds_newest(server, ref)) {
         publish_weights(server);
     }
     issue_orders();
@@ -574,11 +574,16 @@
     co_return code == asio::error::operation_aborted;
 }
 
+bool order_coordinator::holds_newest(const backend& server, const adapter_ref& ref) const {
+    const auto held = server.listing.weights.version_of(ref);
+    return held && *held >= state_.versions.newest(ref).value_or(0);
+}
+
 void order_coordinator::wake_waiters(const server_name& name) {
     const backend* server = state_.directory.find(name);
     const auto [begin, end] = waiters_.equal_range(name);
     for (auto waiter = begin; waiter != end; ++waiter) {
-        if (server == nullptr || server->listing.weights.version_of(waiter->second.ref)) {
+        if (server == nullptr || holds_newest(*server, waiter->second.ref)) {
             waiter->second.timer->cancel();
         }
     }
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(server_that_asks_for_a_pause_gets_no_request_until_it_ends);
     CPPUNIT_TEST(request_is_refused_until_the_pause_of_the_only_server_ends);
     CPPUNIT_TEST(short_pause_of_the_only_server_is_waited_for);
+    CPPUNIT_TEST(request_that_needs_a_newer_version_does_not_spin);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* plain_path = "/plain/";
@@ -455,6 +456,31 @@
         CPPUNIT_ASSERT_EQUAL(2, received.load());
     }
 
+    // While the server holds the older version only, every change of the servers woke the request, which
+    // asked for the newer version again at once, until its deadline.
+    void request_that_needs_a_newer_version_does_not_spin() {
+        scripted_server server{[](blocking_connection& connection, int) { connection.read_message(); }};
+        start({&server});
+        gateway_under_test& target = *gateway_;
+        asio::post(target.context, [&] {
+            target.state.versions.on_announced({"base", "a1"}, 2, target.state.now());
+        });
+        std::atomic<bool> is_over{false};
+        std::thread changes{[&] {
+            while (!is_over) {
+                asio::post(target.context, [&] { target.coordinator.on_servers_changed(); });
+                std::this_thread::sleep_for(milliseconds{5});
+            }
+        }};
+        const time_point sent = target.state.now();
+        const std::string answer = request(plain_path, "1", 5000);
+        const duration elapsed = target.state.now() - sent;
+        is_over = true;
+        changes.join();
+        CPPUNIT_ASSERT_MESSAGE(answer, has_status(answer, 503));
+        CPPUNIT_ASSERT(elapsed < std::chrono::seconds{4});
+    }
+
 private:
     using resuming_script = std::function<void(blocking_connection& connection, const std::string& id)>;
 
