--- a/modules/gateway/include/lovageledge/gateway/order_coordinator.hpp
+++ b/modules/gateway/include/lovageledge/gateway/order_coordinator.hpp
@@ -48,8 +48,8 @@
     void request_weights(const server_name& server, const adapter_ref& ref, bool was_refused = false);
     /** Records that a request was sent to a server that holds its weights. */
     void record_use(const server_name& server, const adapter_ref& ref);
-    /** Waits until a server holds the newest version of the weights. @returns false if the limit passed before that. True is also
-        returned if the server was removed in the meantime. */
+    /** Waits until a server holds the newest version of the weights. @returns false if the limit passed
+       before that. True is also returned if the server was removed in the meantime. */
     asio::awaitable<bool> wait_for_weights(server_name server, adapter_ref ref, duration limit);
     /** Issues orders that are due after a change of the servers, their versions or the configuration. */
     void on_servers_changed();
