--- a/tests/soak/relay.py
+++ b/tests/soak/relay.py
@@ -11,6 +11,7 @@
         self.drops_requests = False   # Discards bytes from the connecting side to the target.
         self.drops_responses = False  # Discards bytes from the target.
         self.rejects_connections = False
+        self.silence_trigger = None   # A function of request bytes: the connection that they belong to falls silent if true.
         self.writers = set()
 
     async def serve(self, address):
@@ -38,9 +39,15 @@
             writer.transport.abort()
             return
         self.writers |= {writer, target_writer}
+        silent = []
+
+        def drops_request(data):
+            if self.silence_trigger and self.silence_trigger(data):
+                silent.append(True)
+            return self.drops_requests or silent
         try:
-            await asyncio.gather(self._pump(reader, target_writer, lambda: self.drops_requests),
-                                 self._pump(target_reader, writer, lambda: self.drops_responses))
+            await asyncio.gather(self._pump(reader, target_writer, drops_request),
+                                 self._pump(target_reader, writer, lambda _: self.drops_responses or silent))
         except asyncio.CancelledError:
             pass  # The soak has ended.
         finally:
@@ -51,7 +58,7 @@
             while data := await reader.read(65536):
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
-                if not is_silent():
+                if not is_silent(data):
                     writer.write(data)
                     await writer.drain()
             writer.transport.close()
--- a/tests/soak/server.py
+++ b/tests/soak/server.py
@@ -41,6 +41,8 @@
         self.leaving_told_at = {}  # When a gateway first got an answer that announces the leaving, by gateway.
         self.pause_s = 0.0         # Requests are refused with the wish for a pause of this length.
         self.pauses = {}           # Begin and end of the pause and arrivals in it, by gateway.
+        self.crash_trigger = None  # A function of path and body: the server ends when it begins to run a request if true.
+        self.on_crash = None       # Called when the trigger has ended the server.
 
     def entry(self, address, state="ready"):
         models = [{"name": "base", "version": 1, "adapters": [f"{a}@{v}" for a, v in self.adapters.items()]}] if self.is_engine else []
@@ -145,7 +147,10 @@
         self.running += 1
         self.in_use[adapter] = self.in_use.get(adapter, 0) + 1
         try:
-            await (self._stream if self.is_engine else self._plain)(writer, headers, request_id, body)
+            crashes = self.crash_trigger is not None and self.crash_trigger(path, body)
+            if crashes and not self.is_engine:
+                await self._crash_by_request()
+            await (self._stream if self.is_engine else self._plain)(writer, headers, request_id, body, crashes)
         finally:
             self.running -= 1
             self.in_use[adapter] -= 1
@@ -153,6 +158,11 @@
                 self.pending_unloads.discard(adapter)
                 self.adapters.pop(adapter, None)
 
+    async def _crash_by_request(self):
+        self.crash()
+        await self.on_crash(self)
+        raise ConnectionResetError
+
     def check_notices(self, request_id, gateway, sent_at):
         """Reports a request that arrives although the server has told its gateway to send none."""
         told_at, now = self.leaving_told_at.get(gateway), time.monotonic()
@@ -168,7 +178,7 @@
     def leaving_header(self):
         return "Server-Leaving: 1\r\n" if self.announces_leaving else ""
 
-    async def _plain(self, writer, headers, request_id, body):
+    async def _plain(self, writer, headers, request_id, body, _crashes):
         await asyncio.sleep(0.03)
         if self.responses_to_drop > 0:
             self.responses_to_drop -= 1
@@ -183,7 +193,7 @@
                      f"Content-Length: {len(text)}\r\n\r\n".encode() + text)
         await writer.drain()
 
-    async def _stream(self, writer, headers, request_id, body):
+    async def _stream(self, writer, headers, request_id, body, crashes):
         writer.write(f"HTTP/1.1 200 X\r\nX-Request-Id: {request_id}\r\nX-Response-Seal: {request_id}\r\nContent-Type: text/event-stream\r\n"
                      f"{self.leaving_header()}Transfer-Encoding: chunked\r\n\r\n".encode())
         for number in range(1, 9):
@@ -191,5 +201,7 @@
             event = f"id: {number}\ndata: {request_id}\n\n".encode()
             writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
             await writer.drain()
+            if crashes:
+                await self._crash_by_request()
         writer.write(b"0\r\n\r\n")
         await writer.drain()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -95,7 +95,8 @@
         server = Server(name, service, service == "engine", self.observations)
         server.zone = zone
         server.relay = Relay(f"127.0.0.1:{port}")
-        self.listeners += [await server.serve(f"127.0.0.1:{port}"), await server.relay.serve(f"127.0.0.1:{port + 1}")]
+        server.relay_listener = await server.relay.serve(f"127.0.0.1:{port + 1}")
+        self.listeners += [await server.serve(f"127.0.0.1:{port}"), server.relay_listener]
         server.address = f"127.0.0.1:{port + 1}"
         self.servers[name] = server
         await self.store.put("servers", name, server.entry(server.address))
