A success without the server's digest is not passed on

Callers saw: a 200 with an empty or short body, framed as whole, after a server had stopped in the middle of its answer's head (report of other operators). Cause: a head that ends early was never taken for a response here (response_whose_head_ends_early_is_no_success passes on as well), but a success was passed on without the digest that every response of a server bears. Change: such a success counts as an attempt that may have run. Before: success_without_the_servers_digest_is_not_passed_on fails on (200). After: it passes. The scripted servers of the tests send the digest, as the protocol demands. Conclusion: the first half of the report could not happen, the second is corrected.

--- a/modules/gateway/include/lovageledge/gateway/wire_codec.hpp
+++ b/modules/gateway/include/lovageledge/gateway/wire_codec.hpp
@@ -25,6 +25,8 @@
 struct response_attributes {
     /** The request that the response belongs to; unset if the server did not specify it. */
     std::optional<request_id> id;
+    /** The server has added its digest, without which a success is not its response. */
+    bool has_digest = false;
     /** The server states that it has not run the request and never will. */
     bool is_not_run = false;
     /** The server has another name, or does not hold the weights in the requested version. */
--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -437,6 +437,11 @@
     const std::string context =
         fmt::format("server={} request={}", listing.name.text(), attributes_.id.text());
     if (!attributes.malformed_header.empty()) {
+    if (is_success && !attributes.has_digest) {
+        last_error_ = "the server's success has no digest";
+        connection->abort();
+        co_return has_stream_started_ ? attempt_outcome::stream_interrupted : attempt_outcome::unknown;
+    }
         state_.log.write(event::backend_header_malformed,
                          fmt::format("{} header=\"{}\"", context, attributes.malformed_header));
     }
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -28,6 +28,11 @@
     return "X-Request-Id: " + id + "\r\n";
 }
 
+/** Headers of every response to a request that a server has run. */
+std::string run_headers(const std::string& id) {
+    return id_header(id) + "X-Response-Seal: seal-" + id + "\r\n";
+}
+
 std::string chunk(const std::string& bytes) {
     return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
 }
@@ -39,7 +44,7 @@
 const std::string stream_end = "0\r\n\r\n";
 
 std::string stream_head(const std::string& id, const std::string& headers = "") {
-    return "HTTP/1.1 200 OK\r\n" + id_header(id) + headers +
+    return "HTTP/1.1 200 OK\r\n" + run_headers(id) + headers +
            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
@@ -65,6 +70,8 @@
     CPPUNIT_TEST(request_is_refused_until_the_pause_of_the_only_server_ends);
     CPPUNIT_TEST(short_pause_of_the_only_server_is_waited_for);
     CPPUNIT_TEST(request_that_needs_a_newer_version_does_not_spin);
+    CPPUNIT_TEST(response_whose_head_ends_early_is_no_success);
+    CPPUNIT_TEST(success_without_the_servers_digest_is_not_passed_on);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* plain_path = "/plain/";
@@ -186,13 +193,44 @@
 public:
     void tearDown() override { gateway_.reset(); }
 
+    void response_whose_head_ends_early_is_no_success() {
+        const std::string buffered = response("200 OK", run_headers("1"), "whole");
+        const std::string streamed = stream_head("1");
+        const std::string until_close =
+            "HTTP/1.1 200 OK\r\n" + run_headers("1") + "Connection: close\r\n\r\n";
+        for (const std::string& head : {buffered, streamed, until_close}) {
+            const std::size_t head_size = head.find("\r\n\r\n") + 4;
+            for (std::size_t size = 1; size < head_size; size += 3) {
+                scripted_server server{[&](blocking_connection& connection, int) {
+                    connection.read_message();
+                    connection.write(head.substr(0, size));
+                    connection.close();
+                }};
+                start({&server});
+                const std::string answer = request(head == streamed ? once_path : plain_path, "1");
+                CPPUNIT_ASSERT_MESSAGE(head.substr(0, size), has_status(answer, 502));
+                gateway_.reset();
+            }
+        }
+    }
+
+    void success_without_the_servers_digest_is_not_passed_on() {
+        scripted_server server{[&](blocking_connection& connection, int) {
+            connection.read_message();
+            connection.write(response("200 OK", id_header("1"), ""));
+            connection.read_message();
+        }};
+        start({&server});
+        CPPUNIT_ASSERT(has_status(request(plain_path, "1"), 502));
+    }
+
     void refusal_without_id_on_a_kept_connection_is_not_taken_for_this_request() {
         const std::string refusal = response("503 Full", "X-Not-Executed: 1\r\n", "");
         scripted_server server{[&](blocking_connection& connection, int) {
-            connection.write((connection.read_message(), response("200 OK", id_header("1"), "first")));
+            connection.write((connection.read_message(), response("200 OK", run_headers("1"), "first")));
             const std::string second = connection.read_message();
             if (!second.empty()) {
-                connection.write(refusal + response("200 OK", id_header(id_of(second)), "second"));
+                connection.write(refusal + response("200 OK", run_headers(id_of(second)), "second"));
                 connection.read_message();
             }
         }};
@@ -224,10 +262,10 @@
                 asio::post(gateway_->context, [this] { restore_adapter_later(); });
                 connection.write(refusal);
             } else {
-                connection.write(response("200 OK", id_header(id_of(first)), "ran"));
+                connection.write(response("200 OK", run_headers(id_of(first)), "ran"));
             }
             if (!connection.read_message().empty()) {
-                connection.write(refusal + response("200 OK", id_header("1"), "ran"));
+                connection.write(refusal + response("200 OK", run_headers("1"), "ran"));
                 connection.read_message();
             }
         }};
@@ -240,7 +278,7 @@
     void interim_responses_are_skipped() {
         scripted_server server{[&](blocking_connection& connection, int) {
             connection.read_message();
-            connection.write("HTTP/1.1 100 Continue\r\n\r\n" + response("200 OK", id_header("1"), "final"));
+            connection.write("HTTP/1.1 100 Continue\r\n\r\n" + response("200 OK", run_headers("1"), "final"));
             connection.read_message();
         }};
         start({&server});
@@ -288,7 +326,7 @@
     void resumed_stream_with_a_length_must_continue_as_well() {
         assert_broken_off(resume_with([](blocking_connection& connection, const std::string& id) {
                               connection.write(
-                                  response("200 OK", id_header(id), event(1) + event(2) + event(3)));
+                                  response("200 OK", run_headers(id), event(1) + event(2) + event(3)));
                           }),
                           2);
     }
@@ -342,7 +380,7 @@
         scripted_server server{[&](blocking_connection& connection, int) {
             for (std::string head; !(head = connection.read_message()).empty();) {
                 ++received;
-                connection.write(response("200 OK", id_header(id_of(head)), "ran"));
+                connection.write(response("200 OK", run_headers(id_of(head)), "ran"));
             }
         }};
         start({&server});
@@ -365,7 +403,7 @@
             return [&received, headers](blocking_connection& connection, int) {
                 for (std::string head; !(head = connection.read_message()).empty();) {
                     received += headers.empty() ? 0 : 1;
-                    connection.write(response("200 OK", id_header(id_of(head)) + headers, "ran"));
+                    connection.write(response("200 OK", run_headers(id_of(head)) + headers, "ran"));
                 }
             };
         };
@@ -402,12 +440,12 @@
             for (std::string head; !(head = connection.read_message()).empty();) {
                 const bool is_first = received++ == 0;
                 connection.write(is_first ? pause_answer(id_of(head), "0.8")
-                                          : response("200 OK", id_header(id_of(head)), "ran"));
+                                          : response("200 OK", run_headers(id_of(head)), "ran"));
             }
         }};
         scripted_server other{[&](blocking_connection& connection, int) {
             for (std::string head; !(head = connection.read_message()).empty();) {
-                connection.write(response("200 OK", id_header(id_of(head)), "ran"));
+                connection.write(response("200 OK", run_headers(id_of(head)), "ran"));
             }
         }};
         start({&pausing, &other});
@@ -447,7 +485,7 @@
         scripted_server server{[&](blocking_connection& connection, int) {
             for (std::string head; !(head = connection.read_message()).empty();) {
                 connection.write(received++ == 0 ? pause_answer(id_of(head), "0.2")
-                                                 : response("200 OK", id_header(id_of(head)), "ran"));
+                                                 : response("200 OK", run_headers(id_of(head)), "ran"));
             }
         }};
         start({&server});
