--- a/modules/base/include/lovageledge/base/event_log.hpp
+++ b/modules/base/include/lovageledge/base/event_log.hpp
@@ -42,6 +42,7 @@
     settings_reloaded = 103,
     dependency_lost = 120,
     dependency_regained = 121,
+    reading_source_changed = 122,
     backend_listed = 320,
     backend_dropped = 321,
     backend_entry_rejected = 322,
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -96,14 +96,14 @@
     co_await exchange.respond(200, state_.counters.text(), "text/plain; version=0.0.4");
 }
 
-void gateway::on_configuration(traffic_configuration configuration) {
+void gateway::on_configuration(traffic_configuration configuration, std::string_view source) {
     if (state_.routes && configuration.version <= state_.routes->version()) {
         return;
     }
     state_.routes = std::make_shared<const route_table>(std::move(configuration));
     caller_server_.set_limits(to_http_limits(state_.routes->limits(), state_.settings.connections));
     state_.log.write(event::configuration_adopted,
-                     fmt::format("revision={} digest= source=store", state_.routes->version()));
+                     fmt::format("revision={} digest= source={}", state_.routes->version(), source));
     coordinator_.on_servers_changed();
 }
 
--- a/modules/gateway/gateway_settings.cpp
+++ b/modules/gateway/gateway_settings.cpp
@@ -108,6 +108,7 @@
     settings.local_data_centres = read_local_data_centres(text, settings.region, reader);
     read_seconds(reader, "stop_limit_s", settings.stop_limit);
     reader.time_ms("bounds", "leaving_limit_ms", settings.leaving_limit);
+    reader.time_ms("bounds", "configuration_limit_ms", settings.configuration_limit);
     reader.time_ms("bounds", "version_limit_ms", settings.version_limit);
     read_fraction(reader, "bounds", "retry_ratio", settings.retries.ratio);
     read_fraction(reader, "bounds", "retry_extra", settings.retries.extra);
--- a/modules/gateway/include/lovageledge/gateway/gateway.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lovageledge {
@@ -35,8 +36,9 @@
         @param on_stopped called once, when the process may exit */
     void stop(std::function<void()> on_stopped);
 
-    /** Puts a version of the configuration in force; it is ignored unless newer than the current one. */
-    void on_configuration(traffic_configuration configuration);
+    /** Puts a version of the configuration in force; it is ignored unless newer than the current one.
+        @param source who has read it, for the log */
+    void on_configuration(traffic_configuration configuration, std::string_view source = "store");
     /** Adds or updates a backend server after its entry in the store has changed. */
     void on_server(server_listing listing);
     void on_server_removed(const server_name& name);
--- a/modules/gateway/include/lovageledge/gateway/gateway_settings.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway_settings.hpp
@@ -27,6 +27,8 @@
     duration stop_limit = std::chrono::seconds{8};
     /** Time within which all gateways must stop sending work to a server that is leaving. */
     duration leaving_limit = std::chrono::milliseconds{2500};
+    /** Time within which a change of the configuration must be in force on all gateways. */
+    duration configuration_limit = std::chrono::milliseconds{4000};
     /** Longest time that an outdated version of an adapter may be served after a new one is announced. */
     duration version_limit = std::chrono::milliseconds{5000};
     retry_allowance retries;
--- a/modules/gateway/include/lovageledge/gateway/load_exchange.hpp
+++ b/modules/gateway/include/lovageledge/gateway/load_exchange.hpp
@@ -37,7 +37,8 @@
     };
 
     /** Broadcasts the heartbeat to this data centre's gateways. Precondition: this gateway is the holder.
-        @param positions revisions up to which this gateway has read the store; empty if it can't read it */
+        @param positions revisions up to which this gateway has read the store, without the kinds that it
+        can't read */
     void send_data_centre_beat(const heartbeat& own, const std::vector<store_position>& positions);
     /** Sends a summary of the work at both data centres' servers to the holder of another one; an unchanged
         summary is only resent once per resend interval. Precondition: this gateway is the holder. */
@@ -51,11 +52,11 @@
     /** Discards the reports of sources that have not been heard from for a while. */
     void expire_silent_peers();
 
-    /** Handles the heartbeat of this data centre's holder. */
     /** Tells this data centre's gateways and the other holders of own sightings that can't wait for the next
         heartbeats, which a holder that has failed does not send. Called periodically. */
     void send_urgent_crashes(const std::map<data_centre_name, instance_name>& remote_holders);
 
+    /** Handles the heartbeat of this data centre's holder. */
     void on_data_centre_beat(const instance_name& from, const protocol::DataCentreBeat& beat);
     /** Handles a peer's report of its own work. */
     void on_gateway_state(const instance_name& from, const protocol::GatewayState& state);
@@ -103,8 +104,8 @@
         time_point sent{};
     };
     std::map<data_centre_name, last_summary> last_summaries_;
-    /** When each source last reported its work. */
     time_point last_urgent_report_{};
+    /** When each source last reported its work. */
     std::map<instance_name, time_point> last_message_times_;
 };
 
--- a/modules/gateway/include/lovageledge/gateway/order_coordinator.hpp
+++ b/modules/gateway/include/lovageledge/gateway/order_coordinator.hpp
@@ -123,6 +123,7 @@
     load_exchange exchange_;
     adapter_planner planner_;
     order_succession succession_;
+    message_delay heartbeat_delay_;
     /** Holders of the other data centres' order domains. */
     std::map<data_centre_name, instance_name> remote_holders_;
     std::map<std::string, std::uint64_t> record_revisions_;
--- a/modules/gateway/include/lovageledge/gateway/wire_codec.hpp
+++ b/modules/gateway/include/lovageledge/gateway/wire_codec.hpp
@@ -116,10 +116,11 @@
 /** Interface between a gateway and the reader of the platform's store. Its functions are called on the
     gateway's thread. */
 struct store_reader {
-    /** @returns the revision up to which each kind was read; empty if the store can't be read at present */
+    /** @returns the revision up to which each kind was read, without the kinds that can't be read at
+        present */
     std::function<std::vector<store_position>()> positions = [] { return std::vector<store_position>{}; };
     /** Called with the holder's positions; for a limited time the holder's updates replace own watches of
-        the store. */
+        the store. Their ages include the time that the holder's message was on its way. */
     std::function<void(const std::vector<store_position>&)> on_holder_positions =
         [](const std::vector<store_position>&) {};
     /** Called when the holder changes: the former holder's positions are no longer valid. */
--- a/modules/gateway/load_exchange.cpp
+++ b/modules/gateway/load_exchange.cpp
@@ -169,6 +169,8 @@
         protocol::StorePosition& entry = *beat.add_positions();
         entry.set_kind(position.kind);
         entry.set_revision(position.revision);
+        entry.set_age_ms(static_cast<std::uint32_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(position.age).count()));
     }
     append_crashes(crash_registry::report_scope::standing, *beat.mutable_crashes());
     peers_.send_to_data_centre(message);
--- a/modules/gateway/order_coordinator.cpp
+++ b/modules/gateway/order_coordinator.cpp
@@ -32,9 +32,9 @@
 
 /** A holder relays store updates if its data centre has at least this many other gateways. */
 constexpr std::size_t min_peers_to_relay = 3;
-/** It takes 3.1 s to notice that the holder has lost the store. With a shorter leaving limit than this, each
-    gateway reads the store itself. */
-constexpr auto min_leaving_limit_to_relay = milliseconds{3500};
+/** With shorter change limits than this, too little time would be left for an own reading after a holder's
+    has become too old, so each gateway reads the store itself. */
+constexpr auto min_change_limit_to_relay = milliseconds{3500};
 
 const std::string gateway_prefix = "gateway.";
 const std::string domain_prefix = "orders.";
@@ -237,6 +237,7 @@
     }
     if (record.holder != former.holder || record.start != former.start) {
         exchange_.clear_peer_state();
+        heartbeat_delay_.reset();
         state_.crashes.report_again(state_.now());
         state_.store.on_holder_changed();
     }
@@ -412,9 +413,11 @@
 
 void order_coordinator::on_data_centre_beat(const instance_name& from, const protocol::DataCentreBeat& beat) {
     exchange_.on_data_centre_beat(from, beat);
+    const duration delay =
+        heartbeat_delay_.on_message(time_point{duration{beat.sent_at_ns()}}, succession_time());
     std::vector<store_position> positions;
     for (const protocol::StorePosition& entry : beat.positions()) {
-        positions.push_back({entry.kind(), entry.revision()});
+        positions.push_back({entry.kind(), entry.revision(), milliseconds{entry.age_ms()} + delay});
     }
     state_.store.on_holder_positions(positions);
     exchange_.confirm_heartbeat(from, beat, is_stopping_);
@@ -430,7 +433,8 @@
 }
 
 bool order_coordinator::may_rely_on_holder() const {
-    return state_.settings.leaving_limit >= min_leaving_limit_to_relay;
+    return std::min(state_.settings.leaving_limit, state_.settings.configuration_limit) >=
+           min_change_limit_to_relay;
 }
 
 void order_coordinator::relay_store_update(const store_update& update) {
--- a/modules/service/decision_log.cpp
+++ b/modules/service/decision_log.cpp
@@ -71,6 +71,8 @@
         return "settings_reloaded";
     case event::dependency_lost:
         return "dependency_lost";
+    case event::reading_source_changed:
+        return "reading_source_changed";
     case event::dependency_regained:
         return "dependency_regained";
     case event::backend_listed:
--- a/modules/serving/include/lovageledge/serving/serving.hpp
+++ b/modules/serving/include/lovageledge/serving/serving.hpp
@@ -9,6 +9,7 @@
 #include "lovageledge/serving/crash_registry.hpp"
 #include "lovageledge/serving/demand_meter.hpp"
 #include "lovageledge/serving/event_framer.hpp"
+#include "lovageledge/serving/message_delay.hpp"
 #include "lovageledge/serving/order_succession.hpp"
 #include "lovageledge/serving/reported_work.hpp"
 #include "lovageledge/serving/retry_budget.hpp"
--- a/modules/serving/store_watch_policy_test.cpp
+++ b/modules/serving/store_watch_policy_test.cpp
@@ -19,6 +19,10 @@
     CPPUNIT_TEST(difference_from_older_totals_is_never_negative);
     CPPUNIT_TEST(listed_kind_waits_a_second_for_the_holder);
     CPPUNIT_TEST(holder_that_has_read_more_is_not_waited_for);
+    CPPUNIT_TEST(old_reading_of_one_kind_is_not_relied_on);
+    CPPUNIT_TEST(dead_watch_is_noticed_within_the_change_limit);
+    CPPUNIT_TEST(queued_messages_are_noticed);
+    CPPUNIT_TEST(clock_drift_is_not_taken_for_a_queue);
     CPPUNIT_TEST_SUITE_END();
 
     void listed_kind_waits_a_second_for_the_holder() {
@@ -39,6 +43,48 @@
         CPPUNIT_ASSERT(!policy.suspended_until("k", 5, listed, listed + milliseconds{100}));
     }
 
+    void old_reading_of_one_kind_is_not_relied_on() {
+        store_watch_policy policy{milliseconds{900}, [](const std::string&) { return milliseconds{2000}; }};
+        policy.on_positions({{"config", 7, milliseconds{1600}}, {"servers", 7, milliseconds{100}}}, now_);
+        CPPUNIT_ASSERT(policy.covered_until("config", 7, now_) == now_ + milliseconds{400});
+        CPPUNIT_ASSERT(policy.covered_until("servers", 7, now_) == now_ + milliseconds{900});
+        policy.on_positions({{"config", 7, milliseconds{2000}}, {"servers", 7, milliseconds{100}}}, now_);
+        CPPUNIT_ASSERT(!policy.covered_until("config", 7, now_));
+    }
+
+    void dead_watch_is_noticed_within_the_change_limit() {
+        for (const int limit_ms : {2500, 4000, 5000, 20'000}) {
+            for (const int pause_ms : {0, 500}) {
+                const reading_limits limits{milliseconds{limit_ms}, milliseconds{pause_ms}};
+                const watch_timing timing = choose_watch_timing(limits);
+                CPPUNIT_ASSERT(timing.wait >= milliseconds{500});
+                CPPUNIT_ASSERT(timing.margin >= milliseconds{400});
+                CPPUNIT_ASSERT(limits.pause + timing.wait + timing.margin + limits.failure_pause <
+                               limits.change_limit);
+            }
+        }
+    }
+
+    void queued_messages_are_noticed() {
+        message_delay delay;
+        const duration offset = std::chrono::hours{5};
+        CPPUNIT_ASSERT(delay.on_message(now_ + offset, now_) == duration::zero());
+        CPPUNIT_ASSERT(delay.on_message(now_ + offset + seconds{1}, now_ + seconds{1} + milliseconds{700}) ==
+                       milliseconds{700});
+        CPPUNIT_ASSERT(delay.on_message(now_ + offset + seconds{2}, now_ + seconds{2}) == duration::zero());
+    }
+
+    void clock_drift_is_not_taken_for_a_queue() {
+        message_delay delay;
+        duration largest{};
+        for (int second = 0; second < 3600; ++second) {
+            const auto drift = std::chrono::microseconds{50 * second};
+            largest =
+                std::max(largest, delay.on_message(now_ + seconds{second}, now_ + seconds{second} + drift));
+        }
+        CPPUNIT_ASSERT(largest < milliseconds{50});
+    }
+
     const time_point now_{seconds{100}};
     const duration validity_ = milliseconds{600};
     store_watch_policy policy_{validity_};
--- a/programs/gateway/main.cpp
+++ b/programs/gateway/main.cpp
@@ -107,7 +107,10 @@
     start_logging(settings.log_level);
     boost::asio::io_context context{1};
     boost::asio::signal_set signals{context, SIGINT, SIGTERM, SIGHUP};
-    lovageledge::platform::platform_session session{context, settings.platform_address};
+    lovageledge::platform::platform_session session{
+        context,
+        settings.platform_address,
+        {settings.leaving_limit, settings.configuration_limit, settings.version_limit}};
     lovageledge::gateway gateway{context, std::move(settings), lovageledge::platform::make_wire_codec(),
                                  session.port()};
     lovageledge::error failure;
