Entries of other writers that can't be read don't affect others

Callers saw: machines that read the list ended again and again, or stopped following it, because of one odd entry (report of other operators). Cause: lists and changes were parsed as a whole. In ledged, an entry of the instance list with a field of another type threw.

--- a/modules/coordination/include/lovageledge/coordination/membership.hpp
+++ b/modules/coordination/include/lovageledge/coordination/membership.hpp
@@ -18,6 +18,10 @@
     bool is_backend = false;
 };
 
+/** Reads the platform's list of instances. Entries that other writers have left and that can't be used are
+    left out. Thread-safe. @returns nothing if the text is no list */
+std::optional<std::vector<listed_instance>> parse_instance_list(const std::string& text);
+
 /**
     Tracks which peers are alive, based on their heartbeats, the platform's instance list, which may lag
     behind, and the suspicions that other peers report.
--- a/modules/coordination/membership.cpp
+++ b/modules/coordination/membership.cpp
@@ -1,16 +1,47 @@
 #include "lovageledge/coordination/membership.hpp"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace lovageledge {
 namespace {
 
+/** @returns a text field, empty if it is missing; nothing if it has another type */
+std::optional<std::string> text_field(const nlohmann::json& entry, const char* name) {
+    const auto value = entry.find(name);
+    if (value == entry.end()) {
+        return std::string{};
+    }
+    return value->is_string() ? std::optional{value->get<std::string>()} : std::nullopt;
+}
+
 /** An instance that sends no heartbeats counts as terminated once it has been missing from the platform's
     list for this long. */
 constexpr auto unlisted_limit = std::chrono::seconds{10};
 
 } // namespace
 
+std::optional<std::vector<listed_instance>> parse_instance_list(const std::string& text) {
+    const auto entries = nlohmann::json::parse(text, nullptr, false);
+    if (!entries.is_array()) {
+        return std::nullopt;
+    }
+    std::vector<listed_instance> list;
+    for (const auto& entry : entries) {
+        if (!entry.is_object()) {
+            continue;
+        }
+        const auto name = text_field(entry, "name");
+        const auto address = text_field(entry, "address");
+        const auto state = text_field(entry, "state");
+        const auto kind = text_field(entry, "kind");
+        if (name && address && state && kind) {
+            list.push_back({*name, *address, *state == "leaving", *kind == "backend"});
+        }
+    }
+    return list;
+}
+
 membership::change membership::on_heartbeat(const instance_name& from, const start_id& start,
                                             const protocol::Heartbeat& heartbeat, time_point now) {
     auto [entry, is_new] = peers_.try_emplace(from);
--- a/modules/coordination/node.cpp
+++ b/modules/coordination/node.cpp
@@ -609,18 +609,13 @@
     if (response.status != platform_status::ok) {
         return;
     }
-    const auto json = nlohmann::json::parse(response.data, nullptr, false);
-    if (!json.is_array()) {
+    const auto list = parse_instance_list(response.data);
+    if (!list) {
         return;
     }
-    std::vector<listed_instance> list;
-    for (const auto& item : json) {
-        list.push_back({item.value("name", ""), item.value("address", ""),
-                        item.value("state", "") == "leaving", item.value("kind", "") == "backend"});
-    }
-    members_.on_list(list, now);
+    members_.on_list(*list, now);
     listed_leaving_.clear();
-    for (const listed_instance& item : list) {
+    for (const listed_instance& item : *list) {
         const instance_name name{item.name};
         if (item.is_backend && item.is_leaving) {
             listed_leaving_.insert(server_name{item.name});
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "lovageledge/gateway/gateway.hpp"
 
 #include <spdlog/fmt/fmt.h>
+#include <utility>
 
 namespace lovageledge {
 namespace {
@@ -20,6 +21,8 @@
 /** Before that, the time in which requests that can't end in time get an error response. */
 constexpr auto last_answers_time = milliseconds{200};
 constexpr auto stop_check_interval = milliseconds{50};
+/** Bounds the memory for entries that can't be used, each of which is logged once. */
+constexpr std::size_t max_remembered_rejections = 1000;
 /** Limits on requests and connections at the readiness and metrics addresses. */
 constexpr std::uint32_t status_request_bytes = 8 * 1024;
 constexpr std::uint32_t status_connections = 64;
@@ -148,6 +151,13 @@
 }
 
 void gateway::on_rejected_entry(const std::string& entry, const std::string& reason) {
+    if (rejected_entries_.size() >= max_remembered_rejections) {
+        rejected_entries_.clear();
+    }
+    std::string& last_reason = rejected_entries_[entry];
+    if (std::exchange(last_reason, reason) == reason) {
+        return; // It is read again with each list.
+    }
     state_.log.write(event::backend_entry_rejected, fmt::format("entry={} reason=\"{}\"", entry, reason));
 }
 
@@ -180,6 +190,10 @@
     const auto is_idle = [&] {
         return caller_server_.busy_connections() == 0 && state_.now() - stop_began > balancer_lag;
     };
+    co_await wait_until(state_.answer_until, is_idle);
+    for (const auto& handler : std::set{handlers_}) {
+        handler->end_for_stop();
+    }
     co_await wait_until(limit, is_idle);
     co_await coordinator_.finish_stop();
     // Requests may have arrived while the coordinator wrote to the store.
@@ -190,8 +204,4 @@
     on_stopped();
 }
 
-    co_await wait_until(state_.answer_until, is_idle);
-    for (const auto& handler : std::set{handlers_}) {
-        handler->end_for_stop();
-    }
 } // namespace lovageledge
--- a/modules/gateway/include/lovageledge/gateway/gateway.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway.hpp
@@ -74,14 +74,16 @@
 
     asio::io_context& context_;
     gateway_state state_;
+    /** Why entries of the store could not be used, as last logged. */
+    std::map<std::string, std::string> rejected_entries_;
     order_coordinator coordinator_;
     connection_pool pool_;
+    /** The requests in progress. */
+    std::set<std::shared_ptr<request_handler>> handlers_;
     http_server caller_server_;
     http_server readiness_server_;
     http_server metrics_server_;
     bool has_server_list_ = false;
-    /** The requests in progress. */
-    std::set<std::shared_ptr<request_handler>> handlers_;
 };
 
 } // namespace lovageledge
--- a/modules/gateway/peer_directory.cpp
+++ b/modules/gateway/peer_directory.cpp
@@ -25,6 +25,10 @@
     if (name == settings_.name) {
         return;
     }
+    if (!parse_endpoint(record.peer_address())) {
+        spdlog::warn("the record of gateway {} has no valid address", name.text());
+        return;
+    }
     peer_gateway& peer = peers_[name];
     const bool has_new_address = peer.address != record.peer_address();
     peer.address = record.peer_address();
--- a/modules/service/platform_client.cpp
+++ b/modules/service/platform_client.cpp
@@ -66,10 +66,15 @@
         return {platform_status::ok, 0, response.body};
     }
     const json body = json::parse(response.body, nullptr, false);
-    if (!body.is_object()) {
+    const auto version = body.is_object() ? body.find("version") : body.end();
+    const auto data = body.is_object() ? body.find("data") : body.end();
+    const bool is_valid = body.is_object() && (version == body.end() || version->is_number_unsigned()) &&
+                          (data == body.end() || data->is_string());
+    if (!is_valid) {
         return {platform_status::unavailable, 0, ""};
     }
-    return {platform_status::ok, body.value("version", std::uint64_t{0}), body.value("data", "")};
+    return {platform_status::ok, version == body.end() ? 0 : version->get<std::uint64_t>(),
+            data == body.end() ? std::string{} : data->get<std::string>()};
 }
 
 asio::awaitable<platform_response> platform_client::run_call(call_platform command) {
--- a/modules/transport/peer_socket.cpp
+++ b/modules/transport/peer_socket.cpp
@@ -135,7 +135,12 @@
     socket.set(zmq::sockopt::connect_timeout, connect_timeout_ms);
     // Drops messages while the peer is not connected, rather than keep them until it restarts.
     socket.set(zmq::sockopt::immediate, 1);
-    socket.connect("tcp://" + address);
+    try {
+        socket.connect("tcp://" + address);
+    } catch (const zmq::error_t& exception) {
+        implementation_->on_error({"peer.connect", address, exception.what()});
+        return;
+    }
     const std::scoped_lock lock{implementation_->mutex};
     implementation_->outbound.insert_or_assign(peer, std::move(socket));
 }
--- a/modules/transport/peer_socket_test.cpp
+++ b/modules/transport/peer_socket_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(signal_does_not_end_the_receiver);
     CPPUNIT_TEST(connection_returns_soon_after_the_peer_accepts_again);
     CPPUNIT_TEST(messages_to_a_peer_that_does_not_read_are_bounded);
+    CPPUNIT_TEST(address_that_is_none_is_reported);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* address = "127.0.0.1:20917";
@@ -37,6 +38,18 @@
         }
     }
 
+    void address_that_is_none_is_reported() {
+        std::vector<error> errors;
+        peer_socket sender{[](const protocol::Envelope&) {},
+                           [&](const error& why) { errors.push_back(why); }};
+        for (const std::string odd : {"nowhere", "", "127.0.0.1:port"}) {
+            sender.connect(instance_name{"odd"}, odd);
+            sender.send(instance_name{"odd"}, protocol::Envelope{});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, errors.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"peer.connect"}, errors.front().step);
+    }
+
     // A signal to the process may be delivered to the receiver thread, where it interrupts the poll with
     // EINTR. The receiver must not take that for a failure and stop.
     void signal_does_not_end_the_receiver() {
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -20,6 +20,7 @@
         self.unanswered_writes = 0   # This many writes are applied without a response.
         self.late_write_delay = None # A function of a write's name and spec: the delay in seconds of a write that takes effect late.
         self.late_writes = set()
+        self.raw_values = {}         # JSON text that replaces a string in responses, for what json.dumps() can't write.
         self.calls = 0
 
     async def put(self, kind, name, spec):
@@ -80,6 +81,8 @@
                     self.unanswered_writes -= 1
                     await asyncio.sleep(3600)
                 text = json.dumps(answer).encode()
+                for placeholder, raw in self.raw_values.items():
+                    text = text.replace(f'"{placeholder}"'.encode(), raw.encode())
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % (status, len(text)) + text)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
