Findings of the linter in the new code

Cause: clang-tidy takes defaulted comparisons for a null pointer, as in strong_id, and two constants prevent a move. Change: the same exception as in strong_id; two locals of tests are not constant any more. Conclusion: no change of behaviour.

--- a/modules/serving/crash_registry_test.cpp
+++ b/modules/serving/crash_registry_test.cpp
@@ -137,7 +137,7 @@
     // Two gateways that tell each other of all they know must not keep a sighting alive that both refute.
     void sightings_that_were_refuted_do_not_come_back() {
         crash_registry peer{3};
-        const std::set<server_start_id> listed{start(1), start(2), start(3)};
+        std::set<server_start_id> listed{start(1), start(2), start(3)};
         for (std::uint64_t server = 1; server <= 3; ++server) {
             registry_.on_broken(request_, start(server), now_, now_);
         }
--- a/modules/serving/include/lovageledge/serving/crash_registry.hpp
+++ b/modules/serving/include/lovageledge/serving/crash_registry.hpp
@@ -17,14 +17,14 @@
     /** The request has no body, so that unrelated callers may send the same one. */
     bool is_shared = false;
 
-    auto operator<=>(const request_fingerprint&) const = default;
+    auto operator<=>(const request_fingerprint&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /** Identifies one start of a backend server, the same on all gateways. */
 struct server_start_id {
     std::uint64_t digest = 0;
 
-    auto operator<=>(const server_start_id&) const = default;
+    auto operator<=>(const server_start_id&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /** @returns the identifier of a server's start. Thread-safe. */
--- a/tests/gateway/gateway_stop_test.cpp
+++ b/tests/gateway/gateway_stop_test.cpp
@@ -109,7 +109,7 @@
             gateway_thread.join();
             caller.shut_down(); // As if the process ended here.
         }};
-        const std::string answer = caller.read_all();
+        std::string answer = caller.read_all();
         exit.join();
         return answer;
     }
