--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -144,12 +144,13 @@
 
     # Callers
 
-    async def request_once(self, port, request, limit):
-        """Sends a request on a new connection. Returns (status, headers, body), with status 0 if the response is incomplete."""
+    async def request_once(self, port, request, limit, caller="127.0.0.1"):
+        """Sends a request on a new connection from a caller's address. Returns (status, headers, body), with status 0 if the
+        response is incomplete."""
         writer = None
         try:
             async with asyncio.timeout(limit):
-                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                reader, writer = await asyncio.open_connection("127.0.0.1", port, local_addr=(caller, 0))
                 return await self.send_and_receive(reader, writer, request)
         except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
             return 0, {}, b""
--- a/tests/soak/test_crashing_request.py
+++ b/tests/soak/test_crashing_request.py
@@ -14,6 +14,8 @@
 REPETITIONS = 14
 PAUSE_S = 1.0          # Between two copies of the request; gateways tell each other of a crash within this time.
 EXPIRY_S = 3.6         # The platform drops the entry of a server that has been silent for this long.
+STABILITY_WINDOW_S = 4.0
+MAX_LATE_ARRIVALS = 3  # That are sent later than the window after the third crash, as on the platform.
 RECOVERY_S = 10.0      # After lost responses, a request is served again within this time.
 MARK = b"crashing"
 
@@ -36,6 +38,7 @@
         self.folder = tempfile.TemporaryDirectory(prefix="crashing-request-")
         build = pathlib.Path(os.environ.get("LEDGE_BUILD", str(ROOT / "build")))
         self.soak, self.crashed, self.replacements = Soak(1, GATEWAYS, CrashingRequest.port, build, self.folder.name), [], []
+        self.arrivals, self.crash_times = [], []
         CrashingRequest.port += 1000
         try:
             asyncio.run(run())
@@ -46,6 +49,7 @@
     async def replace(self, server):
         """Starts another server beside one that has ended, and lets the entry of the ended one expire."""
         self.crashed.append(server.name)
+        self.crash_times.append(time.monotonic())
         server.relay_listener.close()
         self.soak.servers.pop(server.name, None)
 
@@ -54,6 +58,8 @@
             await self.soak.add_server(server.service, server.zone)
             self.arm()
             await asyncio.sleep(EXPIRY_S - 0.5)
+            while self.soak.store.fault_mode:
+                await asyncio.sleep(EXPIRY_S)  # The platform counts the silence anew after an outage.
             await self.soak.store.remove("servers", server.name)
         self.replacements.append(asyncio.create_task(start_another()))
 
@@ -61,13 +67,13 @@
         for server in self.soak.servers.values():
             server.crash_trigger, server.on_crash = self.trigger, self.replace
 
-    async def send(self, gateway, method, path, body, headers=()):
-        request_id = f"{time.monotonic_ns():x}"
+    async def send(self, gateway, method, path, body, headers=(), prefix="", caller="127.0.0.1"):
+        request_id = f"{prefix}{time.monotonic_ns():x}"
         self.soak.observations.requests[request_id] = ("safe", path, body)
         lines = [f"{method} {path} HTTP/1.1", "Host: soak", f"X-Request-Id: {request_id}", "X-Deadline-Ms: 3000",
                  f"Content-Length: {len(body)}", *headers]
         return await self.soak.request_once(
-            self.soak.port + 100 + gateway, "\r\n".join(lines).encode() + b"\r\n\r\n" + body, 4.0)
+            self.soak.port + 100 + gateway, "\r\n".join(lines).encode() + b"\r\n\r\n" + body, 4.0, caller)
 
     async def send_repeatedly(self, method, path, body, headers=()):
         self.arm()
@@ -77,11 +83,132 @@
         await asyncio.gather(*self.replacements)
 
     def check_crashes(self, method, path, body, headers=()):
-        self.trigger = lambda run_path, run_body: run_path == path and run_body == body
+        self.trigger = lambda _, run_path, run_body: "crash" if run_path == path and run_body == body else None
         self.run_scenario(lambda: self.send_repeatedly(method, path, body, headers))
         self.assertGreater(len(self.crashed), 0)
         self.assertLessEqual(len(self.crashed), CRASH_LIMIT, f"servers that ended: {self.crashed}")
 
+    # The following scenarios mark the requests that end servers by their id, since sound ones may be equal otherwise.
+
+    def mark_crashing(self, fails=lambda arrival: False):
+        """Lets requests whose id begins with "crash" end their server, except for those that fail, by number of arrival."""
+        def trigger(request_id, _path, _body):
+            if not request_id.startswith("crash"):
+                return None
+            self.arrivals.append(time.monotonic())
+            return "fail" if fails(len(self.arrivals)) else "crash"
+        self.trigger = trigger
+
+    def check_late_arrivals(self):
+        """Checks the platform's limit of requests that reach servers although they have ended three."""
+        self.assertGreaterEqual(len(self.crash_times), CRASH_LIMIT)
+        third = self.crash_times[CRASH_LIMIT - 1]
+        late = [round(arrival - third, 1) for arrival in self.arrivals if arrival > third + STABILITY_WINDOW_S]
+        self.assertLessEqual(len(late), MAX_LATE_ARRIVALS, f"late arrivals {late}, {len(self.crashed)} servers ended")
+
+    async def send_crashing(self, gateway, method="GET", path="/read/x", body=b"", headers=()):
+        return await self.send(gateway, method, path, body, headers, prefix="crash")
+
+    async def restart_gateways(self, indices):
+        for index in indices:
+            name = self.soak.gateway_name(index)
+            self.soak.processes[name].kill()
+            self.soak.processes[name].wait()
+        for index in indices:
+            self.soak.start_gateway(index)
+        for index in indices:
+            await self.soak.wait_ready(index)
+
+    def test_sound_requests_of_another_caller_with_the_same_path(self):
+        statuses = []
+
+        async def scenario():
+            self.arm()
+            for number in range(2 * REPETITIONS):
+                await self.send_crashing(number % GATEWAYS)
+                statuses.append((await self.send((number + 3) % GATEWAYS, "GET", "/read/x", b"", caller="127.0.0.2"))[0])
+                await asyncio.sleep(PAUSE_S / 2)
+            await asyncio.gather(*self.replacements)
+        self.mark_crashing()
+        self.run_scenario(scenario)
+        self.assertLessEqual(len(self.crashed), CRASH_LIMIT)
+        self.assertEqual([200] * len(statuses), statuses)
+
+    def test_request_that_fails_in_each_third_run(self):
+        async def scenario():
+            self.arm()
+            for number in range(2 * REPETITIONS):
+                await self.send_crashing(number % GATEWAYS, "POST", "/book/x", MARK)
+                await asyncio.sleep(PAUSE_S / 2)
+            await asyncio.gather(*self.replacements)
+        self.mark_crashing(fails=lambda arrival: arrival % 3 == 0)
+        self.run_scenario(scenario)
+        self.assertLessEqual(len(self.crashed), CRASH_LIMIT)
+
+    def test_copies_without_a_body_at_the_same_time(self):
+        async def scenario():
+            self.arm()
+            for number in range(4):
+                await asyncio.gather(*(self.send_crashing((number + copy) % GATEWAYS) for copy in range(3)))
+                await asyncio.sleep(STABILITY_WINDOW_S + 1.0)
+            await asyncio.gather(*self.replacements)
+        self.mark_crashing()
+        self.run_scenario(scenario)
+        self.check_late_arrivals()
+
+    def test_copies_that_differ_in_their_query(self):
+        async def scenario():
+            self.arm()
+            for number in range(2 * REPETITIONS):
+                await self.send_crashing(number % GATEWAYS, path=f"/read/x?page={number}")
+                await asyncio.sleep(PAUSE_S / 2)
+            await asyncio.gather(*self.replacements)
+        self.mark_crashing()
+        self.run_scenario(scenario)
+        self.assertLessEqual(len(self.crashed), CRASH_LIMIT)
+
+    def test_gateways_are_replaced_in_turn(self):
+        async def scenario():
+            self.arm()
+            for number in range(CRASH_LIMIT):
+                await self.send_crashing(number)
+                await asyncio.sleep(PAUSE_S)
+            for index in range(GATEWAYS):
+                await self.restart_gateways([index])
+                for _ in range(4):
+                    await self.send_crashing(index)
+                    await asyncio.sleep(PAUSE_S / 2)
+            await asyncio.gather(*self.replacements)
+        self.mark_crashing()
+        self.run_scenario(scenario)
+        self.check_late_arrivals()
+
+    def test_all_gateways_end_at_the_same_time(self):
+        async def scenario():
+            self.arm()
+            for _ in range(4):
+                for number in range(CRASH_LIMIT + 1):
+                    await self.send_crashing(number)
+                    await asyncio.sleep(PAUSE_S)
+                await self.restart_gateways(range(GATEWAYS))
+            await asyncio.gather(*self.replacements)
+        self.mark_crashing()
+        self.run_scenario(scenario)
+        self.check_late_arrivals()
+
+    def test_store_is_away_while_servers_end(self):
+        async def scenario():
+            self.arm()
+            self.soak.store.fault_mode = "silent"
+            for number in range(2 * REPETITIONS):
+                await self.send_crashing(number % GATEWAYS, "POST", "/book/x", MARK)
+                await asyncio.sleep(PAUSE_S)
+            self.soak.store.fault_mode = None
+            await asyncio.gather(*self.replacements)
+        self.mark_crashing()
+        self.run_scenario(scenario)
+        self.assertLessEqual(len(self.crashed), CRASH_LIMIT)
+
     def test_request_that_may_run_once(self):
         self.check_crashes("POST", "/book/x", MARK)
 
