--- a/modules/gateway/gateway_state.cpp
+++ b/modules/gateway/gateway_state.cpp
@@ -1,6 +1,7 @@
 #include "lovageledge/gateway/gateway_state.hpp"
 
 #include <algorithm>
+#include <spdlog/fmt/fmt.h>
 
 namespace lovageledge {
 
@@ -11,6 +12,13 @@
                                       [this](const data_centre_name& name) { return is_local(name); }} {
     retries.set_allowance(settings.retries);
     versions.set_limit(settings.version_limit);
+    crashes.set_on_withdrawn([this](const withdrawn_sighting& sighting) {
+        counters.count(fmt::format("crash_sightings_withdrawn_total{{reason=\"{}\"}}", sighting.reason));
+        log.write(event::fingerprint_cleared,
+                  fmt::format("fingerprint={:016x} server_start={:016x} reason={} crashes={}",
+                              sighting.fingerprint.digest, sighting.server_start.digest, sighting.reason,
+                              sighting.remaining_crashes));
+    });
 }
 
 bool gateway_state::is_local(const data_centre_name& data_centre) const {
--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -125,7 +125,9 @@
     if (!state_.crashes.is_refused(fingerprint_)) {
         return false;
     }
-    last_error_ = "this request crashed the servers that ran it";
+    state_.counters.count("requests_refused_as_crashing_total");
+    last_error_ =
+        fmt::format("this request crashed the servers that ran it, fingerprint {:016x}", fingerprint_.digest);
     retry_after_ = retry_after_quarantine;
     return true;
 }
@@ -133,6 +135,7 @@
 void request_handler::record_broken_answer(const server_listing& listing) {
     const server_start_id server_start = make_server_start_id(listing.name, listing.started_at);
     const bool is_refused = state_.crashes.on_broken(fingerprint_, server_start, sent_at_, state_.now());
+    state_.counters.count("crash_sightings_total");
     state_.log.write(is_refused ? event::fingerprint_quarantined : event::fingerprint_suspected,
                      fmt::format("fingerprint={:016x} server_start={:016x} source=own crashes={} request={} "
                                  "server={} waited_ms={} why=\"{}\"",
--- a/modules/serving/crash_registry.cpp
+++ b/modules/serving/crash_registry.cpp
@@ -1,6 +1,7 @@
 #include "lovageledge/serving/crash_registry.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace lovageledge {
 namespace {
@@ -63,6 +64,11 @@
     return !was_refused && is_refused(seen.fingerprint);
 }
 
+void crash_registry::report_withdrawn(const request_fingerprint& fingerprint,
+                                      const server_start_id& server_start, std::string_view reason) const {
+    on_withdrawn_({fingerprint, server_start, reason, crashes(fingerprint)});
+}
+
 void crash_registry::on_answered(const server_start_id& server_start, time_point sent_at) {
     time_point& latest = answered_[server_start];
     latest = std::max(latest, sent_at);
@@ -72,7 +78,11 @@
     }
     for (const request_fingerprint& fingerprint : suspects->second) {
         sighting& seen = requests_.at(fingerprint).at(server_start);
-        seen.is_suspended = seen.is_suspended || sent_at > seen.seen_at;
+        const bool was_suspended =
+            std::exchange(seen.is_suspended, seen.is_suspended || sent_at > seen.seen_at);
+        if (seen.is_suspended && !was_suspended) {
+            report_withdrawn(fingerprint, server_start, "answered");
+        }
     }
 }
 
@@ -82,9 +92,10 @@
         return;
     }
     for (auto& [server_start, seen] : found->second) {
-        if (seen.seen_at < sent_at) {
+        if (seen.seen_at < sent_at && !seen.is_suspended) {
             seen.is_confirmed = false;
             seen.is_suspended = true;
+            report_withdrawn(fingerprint, server_start, "completed");
         }
     }
 }
@@ -105,9 +116,11 @@
             const bool is_refuted = is_due && listed.contains(seen->first);
             const bool is_outdated = now - seen->second.seen_at > confirmed_lifetime;
             if (is_refuted || is_outdated) {
-                suspects_[seen->first].erase(fingerprint);
+                const server_start_id server_start = seen->first;
+                suspects_[server_start].erase(fingerprint);
                 seen = found.erase(seen);
                 --sighting_count_;
+                report_withdrawn(fingerprint, server_start, is_refuted ? "listed" : "expired");
                 continue;
             }
             if (is_due) {
--- a/modules/serving/include/lovageledge/serving/crash_registry.hpp
+++ b/modules/serving/include/lovageledge/serving/crash_registry.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <set>
+#include <string_view>
 #include <vector>
 
 namespace lovageledge {
@@ -39,6 +40,16 @@
     duration waited{};
 };
 
+/** A sighting that no longer counts. */
+struct withdrawn_sighting {
+    request_fingerprint fingerprint;
+    server_start_id server_start;
+    /** What withdrew it, a word for the log. */
+    std::string_view reason;
+    /** How many servers still seem to have ended under the request. */
+    std::uint32_t remaining_crashes = 0;
+};
+
 /**
     Finds requests that crash the servers that run them, from what all gateways see.
 
@@ -54,6 +65,12 @@
     /** @param crash_limit server starts that may end under a request before it is refused; at least 1 */
     explicit crash_registry(std::uint32_t crash_limit) : crash_limit_{crash_limit} {}
 
+    /** Sets a function that is called for each sighting that no longer counts, once the registry has been
+        updated. It must not use the registry. */
+    void set_on_withdrawn(std::function<void(const withdrawn_sighting&)> callback) {
+        on_withdrawn_ = std::move(callback);
+    }
+
     /** Records that a server's answer broke off or did not come. @param sent_at when the request was sent
         @returns true if the request is refused from now on because of it */
     bool on_broken(const request_fingerprint& fingerprint, const server_start_id& server_start,
@@ -105,11 +122,14 @@
     using sightings = std::map<server_start_id, sighting>;
 
     bool add(const crash_sighting& seen, time_point now, bool is_own);
+    void report_withdrawn(const request_fingerprint& fingerprint, const server_start_id& server_start,
+                          std::string_view reason) const;
     std::uint32_t count(const request_fingerprint& fingerprint, const sightings& found) const;
     bool is_due_to_tell(const sighting& seen, std::uint32_t crashes, report_scope scope,
                         time_point now) const;
 
     std::uint32_t crash_limit_;
+    std::function<void(const withdrawn_sighting&)> on_withdrawn_ = [](const withdrawn_sighting&) {};
     std::map<request_fingerprint, sightings> requests_;
     /** Requests with a sighting of a server start. */
     std::map<server_start_id, std::set<request_fingerprint>> suspects_;
