BUDGET: copies of a request are told by path, caller and body

Callers saw: a request that differs in its query with each copy ended 43 servers; sound requests of other callers for the same path were refused with it, and their complete answers cleared its crashes (5 servers ended). Cause: the fingerprint was method, target and body. The query is part of the target and changes with copies; requests without a body had one fingerprint for all callers, for which crashes counted only in turn. Each server that ends counts. servers_that_end_together_count_once_for_a_shared_fingerprint stated that copies without a body which run at the same time count once; servers_that_end_together_count_each and request_without_a_body_is_that_of_its_caller replace it and shared_fingerprint_is_refused_after_crashes_in_turn. Before: 43 servers with a query, 5 with sound requests between.

--- a/modules/gateway/load_exchange.cpp
+++ b/modules/gateway/load_exchange.cpp
@@ -132,11 +132,8 @@
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - sighting.seen_at);
         protocol::CrashSighting& entry = *crashes.Add();
         entry.set_request(sighting.fingerprint.digest);
-        entry.set_shared(sighting.fingerprint.is_shared);
         entry.set_server_start(sighting.server_start.digest);
         entry.set_age_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(0, age.count())));
-        entry.set_waited_ms(static_cast<std::uint32_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(sighting.waited).count()));
     }
 }
 
@@ -229,10 +226,8 @@
 void load_exchange::apply_crashes(const instance_name& from, const crash_list& crashes) {
     const time_point now = state_.now();
     for (const protocol::CrashSighting& entry : crashes) {
-        const crash_sighting sighting{{entry.request(), entry.shared()},
-                                      {entry.server_start()},
-                                      now - std::chrono::milliseconds{entry.age_ms()},
-                                      std::chrono::milliseconds{entry.waited_ms()}};
+        const crash_sighting sighting{
+            {entry.request()}, {entry.server_start()}, now - std::chrono::milliseconds{entry.age_ms()}};
         if (state_.crashes.on_report(sighting, now)) {
             state_.log.write(event::fingerprint_quarantined,
                              fmt::format("fingerprint={:016x} server_start={:016x} source={} crashes={}",
--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -115,10 +115,10 @@
 }
 
 request_fingerprint request_handler::make_fingerprint() const {
-    const auto& request = exchange_.request();
-    const std::string head = fmt::format("{} {} {}\n", to_string_view(request.method_string()),
-                                         to_string_view(request.target()), exchange_.body().size());
-    return {stable_hash(head + exchange_.body()), exchange_.body().empty()};
+    // The query is left out, since copies of a request may differ in it.
+    const std::string_view method = to_string_view(exchange_.request().method_string());
+    return make_request_fingerprint(exchange_.caller_address(), route_->host, method, path_,
+                                    exchange_.body());
 }
 
 bool request_handler::is_quarantined() {
@@ -134,7 +134,7 @@
 
 void request_handler::record_broken_answer(const server_listing& listing) {
     const server_start_id server_start = make_server_start_id(listing.name, listing.started_at);
-    const bool is_refused = state_.crashes.on_broken(fingerprint_, server_start, sent_at_, state_.now());
+    const bool is_refused = state_.crashes.on_broken(fingerprint_, server_start, state_.now());
     state_.counters.count("crash_sightings_total");
     state_.log.write(is_refused ? event::fingerprint_quarantined : event::fingerprint_suspected,
                      fmt::format("fingerprint={:016x} server_start={:016x} source=own crashes={} request={} "
--- a/modules/serving/crash_registry.cpp
+++ b/modules/serving/crash_registry.cpp
@@ -14,8 +14,6 @@
 constexpr auto decision_delay = seconds{8};
 /** Time for which a request stays suspected or refused after a crash. */
 constexpr auto confirmed_lifetime = std::chrono::hours{1};
-/** Uncertainty of the times in peers' sightings. */
-constexpr auto report_time_tolerance = milliseconds{50};
 /** How long a request's only sighting is told: two or three messages. Most have other causes than the
     request. */
 constexpr auto single_report_time = milliseconds{600};
@@ -29,13 +27,23 @@
 
 } // namespace
 
+request_fingerprint make_request_fingerprint(std::string_view caller, std::string_view host,
+                                             std::string_view method, std::string_view path,
+                                             std::string_view body) {
+    std::string text;
+    for (const std::string_view part : {body.empty() ? caller : std::string_view{}, host, method, path}) {
+        text.append(part).push_back('\n'); // None of these parts can contain a line break.
+    }
+    return {stable_hash(text.append(body))};
+}
+
 server_start_id make_server_start_id(const server_name& server, std::uint64_t started_at) {
     return {stable_hash(server.text() + "@" + std::to_string(started_at))};
 }
 
 bool crash_registry::on_broken(const request_fingerprint& fingerprint, const server_start_id& server_start,
-                               time_point sent_at, time_point now) {
-    return add({fingerprint, server_start, now, now - sent_at}, now, true);
+                               time_point now) {
+    return add({fingerprint, server_start, now}, now, true);
 }
 
 bool crash_registry::on_report(const crash_sighting& seen, time_point now) {
@@ -49,7 +57,6 @@
     }
     sighting entry;
     entry.seen_at = seen.seen_at;
-    entry.waited = seen.waited;
     entry.known_at = now;
     entry.is_own = is_own;
     const auto answered = answered_.find(seen.server_start);
@@ -137,37 +144,14 @@
     std::erase_if(answered_, [&](const auto& entry) { return !listed.contains(entry.first); });
 }
 
-std::uint32_t crash_registry::count(const request_fingerprint& fingerprint, const sightings& found) const {
-    const bool is_simple = !fingerprint.is_shared || found.size() == 1;
-    if (is_simple) {
-        return static_cast<std::uint32_t>(std::count_if(
-            found.begin(), found.end(), [](const auto& entry) { return !entry.second.is_suspended; }));
-    }
-    std::vector<const sighting*> seen;
-    for (const auto& [server_start, entry] : found) {
-        if (!entry.is_suspended) {
-            seen.push_back(&entry);
-        }
-    }
-    // Servers that end together while many callers send the same request have more likely another cause, so
-    // that only crashes in turn count: each request was sent after the crash before.
-    std::sort(seen.begin(), seen.end(),
-              [](const sighting* left, const sighting* right) { return left->seen_at < right->seen_at; });
-    std::uint32_t crashes = 0;
-    time_point last_counted{};
-    for (const sighting* entry : seen) {
-        const time_point sent_at = entry->seen_at - entry->waited;
-        if (crashes == 0 || sent_at + report_time_tolerance >= last_counted) {
-            ++crashes;
-            last_counted = entry->seen_at;
-        }
-    }
-    return crashes;
+std::uint32_t crash_registry::count(const sightings& found) {
+    return static_cast<std::uint32_t>(std::count_if(
+        found.begin(), found.end(), [](const auto& entry) { return !entry.second.is_suspended; }));
 }
 
 std::uint32_t crash_registry::crashes(const request_fingerprint& fingerprint) const {
     const auto found = requests_.find(fingerprint);
-    return found == requests_.end() ? 0 : count(fingerprint, found->second);
+    return found == requests_.end() ? 0 : count(found->second);
 }
 
 bool crash_registry::is_refused(const request_fingerprint& fingerprint) const {
@@ -192,10 +176,10 @@
 std::vector<crash_sighting> crash_registry::reports(report_scope scope, time_point now) const {
     std::vector<crash_sighting> due;
     for (const auto& [fingerprint, found] : requests_) {
-        const std::uint32_t crashes = count(fingerprint, found);
+        const std::uint32_t crashes = count(found);
         for (const auto& [server_start, seen] : found) {
             if (due.size() < max_reports_per_message && is_due_to_tell(seen, crashes, scope, now)) {
-                due.push_back({fingerprint, server_start, seen.seen_at, seen.waited});
+                due.push_back({fingerprint, server_start, seen.seen_at});
             }
         }
     }
--- a/modules/serving/include/lovageledge/serving/crash_registry.hpp
+++ b/modules/serving/include/lovageledge/serving/crash_registry.hpp
@@ -11,16 +11,22 @@
 
 namespace lovageledge {
 
-/** Identifies what a request asks for, whoever sends it. */
+/** Identifies copies of a request, whichever gateway they reach. */
 struct request_fingerprint {
-    /** Digest of method, target and body. */
     std::uint64_t digest = 0;
-    /** The request has no body, so that unrelated callers may send the same one. */
-    bool is_shared = false;
 
     auto operator<=>(const request_fingerprint&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
+/** Derives the fingerprint of a request. A body is taken to determine what a request does to a server,
+   whoever sends it; a request without one is that of its caller only. Thread-safe.
+    @param caller the caller's address
+    @param host the host of the matched route
+    @param path the path without the query, in which copies may differ */
+request_fingerprint make_request_fingerprint(std::string_view caller, std::string_view host,
+                                             std::string_view method, std::string_view path,
+                                             std::string_view body);
+
 /** Identifies one start of a backend server, the same on all gateways. */
 struct server_start_id {
     std::uint64_t digest = 0;
@@ -36,8 +42,6 @@
     request_fingerprint fingerprint;
     server_start_id server_start;
     time_point seen_at{};
-    /** How long before that the request had been sent to the server. */
-    duration waited{};
 };
 
 /** A sighting that no longer counts. */
@@ -71,10 +75,10 @@
         on_withdrawn_ = std::move(callback);
     }
 
-    /** Records that a server's answer broke off or did not come. @param sent_at when the request was sent
+    /** Records that a server's answer broke off or did not come.
         @returns true if the request is refused from now on because of it */
     bool on_broken(const request_fingerprint& fingerprint, const server_start_id& server_start,
-                   time_point sent_at, time_point now);
+                   time_point now);
     /** Merges a peer's sighting. @param seen its time is on this gateway's clock
         @returns true if the request is refused from now on because of it */
     bool on_report(const crash_sighting& seen, time_point now);
@@ -110,7 +114,6 @@
 private:
     struct sighting {
         time_point seen_at{};
-        duration waited{};
         /** When it became known here, or due to be told again. */
         time_point known_at{};
         bool is_own = false;
@@ -124,7 +127,7 @@
     bool add(const crash_sighting& seen, time_point now, bool is_own);
     void report_withdrawn(const request_fingerprint& fingerprint, const server_start_id& server_start,
                           std::string_view reason) const;
-    std::uint32_t count(const request_fingerprint& fingerprint, const sightings& found) const;
+    static std::uint32_t count(const sightings& found);
     bool is_due_to_tell(const sighting& seen, std::uint32_t crashes, report_scope scope,
                         time_point now) const;
 
