BUDGET: refused requests outlive the gateways that know of them

Callers saw: while gateways were restarted in turn, a request reached servers 10 times later than 4 s after it had crashed three (15 servers ended); when all ended at once, 7 times (12 servers). Cause: sightings lived in processes only. A gateway that had just started served requests before any peer told it, and when all restart, none can. Change: the holder of each data centre keeps the refused requests in a record of the store. A gateway reads the records before it serves requests, for 2 s after the configuration at most; peers also tell a gateway of their data centre when its record shows a new start. Records are compared without their times, which are Unix times, so that an entry expires an hour after the crash however often it is read. Also: a popular request that is in flight on the servers that another one ends was refused with it for an hour; one with ten recent successful runs per crash at a gateway is not refused. The former rule, fifty runs after each crash, did not help, since a refused request has no runs.

--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -20,6 +20,8 @@
 constexpr auto exit_reserve = milliseconds{400};
 /** Before that, the time in which requests that can't end in time get an error response. */
 constexpr auto last_answers_time = milliseconds{200};
+/** How long requests are refused while the configuration is known and the gateways' records are not. */
+constexpr auto max_wait_for_records = milliseconds{2000};
 constexpr auto stop_check_interval = milliseconds{50};
 /** Bounds the memory for entries that can't be used, each of which is logged once. */
 constexpr std::size_t max_remembered_rejections = 1000;
@@ -77,7 +79,7 @@
 }
 
 bool gateway::is_ready() const {
-    return state_.routes && has_server_list_ && !state_.is_stopping;
+    return state_.may_serve() && has_server_list_ && !state_.is_stopping;
 }
 
 asio::awaitable<void> gateway::serve(http_exchange& exchange) {
@@ -103,6 +105,9 @@
     if (state_.routes && configuration.version <= state_.routes->version()) {
         return;
     }
+    if (!state_.routes) {
+        state_.serves_without_records_from = state_.now() + max_wait_for_records;
+    }
     state_.routes = std::make_shared<const route_table>(std::move(configuration));
     caller_server_.set_limits(to_http_limits(state_.routes->limits(), state_.settings.connections));
     state_.log.write(event::configuration_adopted,
--- a/modules/gateway/include/lovageledge/gateway/gateway_state.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway_state.hpp
@@ -22,6 +22,8 @@
     /** @returns true if a data centre is in this gateway's region */
     bool is_local(const data_centre_name& data_centre) const;
     time_point now() const { return clock.now(); }
+    /** @returns true if this gateway knows enough to serve requests */
+    bool may_serve() const { return routes && (has_read_records || now() >= serves_without_records_from); }
 
     gateway_settings settings;
     wire_codec codec;
@@ -41,6 +43,10 @@
     demand_meter demand;
     /** Requests that crash the servers that run them. */
     crash_registry crashes{crash_limit};
+    /** The gateways' records have been read, and with them the requests that are refused. */
+    bool has_read_records = false;
+    /** From then on, requests are served also if the records can't be read. */
+    time_point serves_without_records_from{};
     /** True from the stop signal on: every connection is closed after its current response. */
     bool is_stopping = false;
     /** During a graceful shutdown, requests that arrive later are refused as not run if they may take longer
--- a/modules/gateway/include/lovageledge/gateway/load_exchange.hpp
+++ b/modules/gateway/include/lovageledge/gateway/load_exchange.hpp
@@ -64,6 +64,14 @@
     void on_data_centre_work(const instance_name& from, const protocol::DataCentreWork& work);
     /** Handles a peer's urgent sightings. */
     void on_crash_report(const instance_name& from, const protocol::CrashReport& report);
+    /** Sends what is known of refused requests to a gateway that has just started. */
+    void send_refused_requests(const instance_name& to);
+    /** @returns the refused requests, for the store */
+    protocol::CrashRecord refused_requests() const;
+    /** @returns true if two records tell the same. Their times may differ by the clocks' steps. */
+    static bool is_same_state(const protocol::CrashRecord& left, const protocol::CrashRecord& right);
+    /** Merges refused requests from the store. */
+    void on_crash_record(const protocol::CrashRecord& record);
 
 private:
     using work_list = google::protobuf::RepeatedPtrField<protocol::ServerWork>;
--- a/modules/gateway/include/lovageledge/gateway/order_coordinator.hpp
+++ b/modules/gateway/include/lovageledge/gateway/order_coordinator.hpp
@@ -74,6 +74,11 @@
     asio::awaitable<void> planning_loop();
     asio::awaitable<void> write_domain_record(order_succession::record_write write);
     asio::awaitable<void> read_domain_record();
+    void apply_crash_record(const stored_record& record);
+    /** Writes the refused requests to the store if they have changed, if this gateway is the holder. Gateways
+        that start later read them before they serve requests. */
+    void store_refused_requests();
+    asio::awaitable<void> write_crash_record(protocol::CrashRecord record);
     /** Sends no more orders, and releases the domain if all orders are answered within a time limit. */
     asio::awaitable<void> release_domain(duration answer_limit);
     asio::awaitable<void> wait_for_unanswered_orders(duration limit);
@@ -129,6 +134,12 @@
     /** Holders of the other data centres' order domains. */
     std::map<data_centre_name, instance_name> remote_holders_;
     std::map<std::string, std::uint64_t> record_revisions_;
+    /** The start of each known gateway. */
+    std::map<std::string, std::string> peer_starts_;
+    /** The refused requests that the store has for this data centre. */
+    protocol::CrashRecord stored_crashes_;
+    time_point crashes_written_at_{};
+    bool is_writing_crashes_ = false;
     std::multimap<server_name, load_waiter> waiters_;
     asio::steady_timer plan_timer_;
     asio::steady_timer announcement_timer_;
--- a/modules/gateway/load_exchange.cpp
+++ b/modules/gateway/load_exchange.cpp
@@ -36,6 +36,16 @@
     return source;
 }
 
+/** Older entries of records have expired. */
+constexpr auto max_stored_age = std::chrono::milliseconds{std::chrono::hours{24}};
+
+/** @returns the Unix time in seconds */
+std::int64_t unix_seconds() {
+    return std::chrono::duration_cast<std::chrono::seconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
 } // namespace
 
 load_exchange::load_exchange(gateway_state& state, peer_directory& peers,
@@ -154,6 +164,47 @@
     }
 }
 
+void load_exchange::send_refused_requests(const instance_name& to) {
+    protocol::Envelope message;
+    append_crashes(crash_registry::report_scope::standing,
+                   *message.mutable_crash_report()->mutable_crashes());
+    if (!message.crash_report().crashes().empty()) {
+        peers_.send(to, message);
+    }
+}
+
+protocol::CrashRecord load_exchange::refused_requests() const {
+    const time_point now = state_.now();
+    protocol::CrashRecord record;
+    for (const crash_sighting& sighting : state_.crashes.refused_sightings()) {
+        protocol::CrashSighting& entry = *record.add_crashes();
+        entry.set_request(sighting.fingerprint.digest);
+        entry.set_server_start(sighting.server_start.digest);
+        entry.set_ended(sighting.has_ended);
+        const auto age = std::chrono::duration_cast<std::chrono::seconds>(now - sighting.seen_at);
+        entry.set_seen_at_s(unix_seconds() - age.count());
+    }
+    return record;
+}
+
+void load_exchange::on_crash_record(const protocol::CrashRecord& record) {
+    crash_list crashes = record.crashes();
+    for (protocol::CrashSighting& entry : crashes) {
+        const auto age = std::chrono::seconds{std::max<std::int64_t>(0, unix_seconds() - entry.seen_at_s())};
+        entry.set_age_ms(static_cast<std::uint32_t>(
+            std::min<std::int64_t>(std::chrono::milliseconds{age}.count(), max_stored_age.count())));
+    }
+    apply_crashes(instance_name{"store"}, crashes);
+}
+
+bool load_exchange::is_same_state(const protocol::CrashRecord& left, const protocol::CrashRecord& right) {
+    return std::equal(left.crashes().begin(), left.crashes().end(), right.crashes().begin(),
+                      right.crashes().end(), [](const auto& one, const auto& other) {
+                          return one.request() == other.request() &&
+                                 one.server_start() == other.server_start() && one.ended() == other.ended();
+                      });
+}
+
 void load_exchange::send_data_centre_beat(const heartbeat& own,
                                           const std::vector<store_position>& positions) {
     protocol::Envelope message;
--- a/modules/gateway/order_coordinator.cpp
+++ b/modules/gateway/order_coordinator.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <spdlog/fmt/fmt.h>
 #include <spdlog/spdlog.h>
+#include <utility>
 
 namespace lovageledge {
 namespace {
@@ -24,6 +25,8 @@
 constexpr auto waiting_peer_lifetime = milliseconds{2000};
 /** Delay after a failed write of a record. */
 constexpr auto write_retry_delay = milliseconds{700};
+/** Least time between two writes of the refused requests. */
+constexpr auto crashes_write_interval = milliseconds{1000};
 /** How long a stopping holder waits for the responses to its orders before it releases the domain: longer
     than the time limits of an order, unless the process is about to exit. */
 constexpr auto order_drain_limit = milliseconds{1800};
@@ -38,6 +41,7 @@
 
 const std::string gateway_prefix = "gateway.";
 const std::string domain_prefix = "orders.";
+const std::string crashes_prefix = "crashes.";
 
 const char* outcome_name(order_outcome outcome) {
     switch (outcome) {
@@ -128,6 +132,7 @@
 // Records in the platform's store
 
 void order_coordinator::on_records_complete() {
+    state_.has_read_records = true;
     asio::co_spawn(context_, register_self(), asio::detached);
 }
 
@@ -167,6 +172,10 @@
         apply_domain_record(record, std::nullopt);
         return;
     }
+    if (record.name.rfind(crashes_prefix, 0) == 0) {
+        apply_crash_record(record);
+        return;
+    }
     protocol::GatewayRecord gateway;
     const bool is_gateway = record.name.rfind(gateway_prefix, 0) == 0 && from_json(record.json, gateway);
     if (is_gateway) {
@@ -178,11 +187,58 @@
                 {instance_name{gateway.instance()}, start_id{gateway.start()}, gateway.link_mbps()});
         }
         state_.retries.set_instances(instance_count());
+        std::string& known_start = peer_starts_[gateway.instance()];
+        const bool has_started = std::exchange(known_start, gateway.start()) != gateway.start();
+        if (is_local_peer && has_started && state_.has_read_records) {
+            exchange_.send_refused_requests(instance_name{gateway.instance()});
+        }
+    }
+}
+
+void order_coordinator::apply_crash_record(const stored_record& record) {
+    protocol::CrashRecord message;
+    if (!from_json(record.json, message)) {
+        spdlog::warn("record {} of revision {} is malformed", record.name, record.revision);
+        return;
+    }
+    if (record.name == crashes_prefix + state_.settings.data_centre.text()) {
+        stored_crashes_ = message;
+    }
+    exchange_.on_crash_record(message);
+}
+
+void order_coordinator::store_refused_requests() {
+    const bool may_write = holds_domain() && !is_stopped_ && state_.has_read_records &&
+                           !is_writing_crashes_ &&
+                           state_.now() - crashes_written_at_ >= crashes_write_interval;
+    if (!may_write) {
+        return;
+    }
+    const protocol::CrashRecord refused = exchange_.refused_requests();
+    if (!load_exchange::is_same_state(refused, stored_crashes_)) {
+        is_writing_crashes_ = true;
+        asio::co_spawn(context_, write_crash_record(refused), asio::detached);
     }
 }
 
+asio::awaitable<void> order_coordinator::write_crash_record(protocol::CrashRecord record) {
+    const std::string name = crashes_prefix + state_.settings.data_centre.text();
+    const auto known = record_revisions_.find(name);
+    const auto expected = known == record_revisions_.end() ? std::nullopt : std::optional{known->second};
+    const write_result result = co_await state_.platform.write_record(name, to_json(record), expected);
+    // A write without an answer is repeated, and then finds its own record or another's.
+    if (result.record) {
+        on_record(*result.record);
+    }
+    crashes_written_at_ = state_.now();
+    is_writing_crashes_ = false;
+}
+
 void order_coordinator::on_record_removed(const std::string& name) {
     record_revisions_.erase(name);
+    if (name == crashes_prefix + state_.settings.data_centre.text()) {
+        stored_crashes_.Clear();
+    }
     if (name.rfind(gateway_prefix, 0) == 0) {
         const instance_name peer{name.substr(gateway_prefix.size())};
         peers_.on_unregistered(peer);
@@ -350,6 +406,7 @@
         update_authority();
         exchange_.send_urgent_crashes(remote_holders_);
         decide_crash_sightings();
+        store_refused_requests();
         timer.expires_after(state_.settings.state_interval);
         boost::system::error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -77,8 +77,8 @@
         co_await refuse(400, "ambiguous length of the body", std::nullopt);
         co_return;
     }
-    if (!routes_) {
-        co_await refuse(503, "no configuration yet", retry_after_transient);
+    if (!state_.may_serve()) {
+        co_await refuse(503, "the configuration or the records are not known yet", retry_after_transient);
         co_return;
     }
     if (!resolve_route()) {
@@ -590,7 +590,7 @@
     }
     const bool is_success = head.status >= 200 && head.status < 300;
     if (is_success) {
-        state_.crashes.on_completed(fingerprint_, sent_at_);
+        state_.crashes.on_completed(fingerprint_);
     }
     if (is_caller_gone_) {
         co_return attempt_outcome::finished;
@@ -663,7 +663,7 @@
             co_return attempt_outcome::finished;
         }
         if (is_end) {
-            state_.crashes.on_completed(fingerprint_, sent_at_);
+            state_.crashes.on_completed(fingerprint_);
             co_await exchange_.end_stream();
             log_finished(head.status, "done");
             co_return attempt_outcome::finished;
--- a/modules/serving/crash_registry.cpp
+++ b/modules/serving/crash_registry.cpp
@@ -18,8 +18,11 @@
 /** Time for which a server is remembered to live, so that late reports don't count: longer than they are
     told. */
 constexpr auto living_lifetime = seconds{90};
-/** A request that ends a server in fewer than one in this many runs at a gateway is not what ends it. */
-constexpr std::uint32_t max_completed_runs = 50;
+/** A request with this many recent successful runs per crash at a gateway is not what ends its servers. */
+constexpr std::uint32_t completed_runs_per_crash = 10;
+constexpr auto completed_runs_half_life = seconds{10};
+/** Beyond that, rare requests are forgotten. */
+constexpr std::size_t max_completed_requests = 8'192;
 /** How long a request's only sighting is told: two or three messages. Most have other causes than the
     request. */
 constexpr auto single_report_time = milliseconds{600};
@@ -57,11 +60,14 @@
 }
 
 bool crash_registry::counts(const sighting& seen) {
-    return seen.state != server_state::living && seen.completed_runs < max_completed_runs;
+    return seen.state != server_state::living;
 }
 
 bool crash_registry::add(const crash_sighting& seen, time_point now, bool is_own) {
     const bool was_refused = is_refused(seen.fingerprint);
+    if (now - seen.seen_at > lifetime) {
+        return false;
+    }
     if (sighting_count_ >= max_sightings) {
         make_room();
     }
@@ -142,23 +148,25 @@
     }
 }
 
-void crash_registry::on_completed(const request_fingerprint& fingerprint, time_point sent_at) {
-    const auto found = requests_.find(fingerprint);
-    if (found == requests_.end()) {
-        return;
+void crash_registry::on_completed(const request_fingerprint& fingerprint) {
+    ++completed_runs_[fingerprint.digest];
+    if (completed_runs_.size() > max_completed_requests) {
+        halve_completed_runs();
     }
-    for (auto& [server_start, seen] : found->second) {
-        const bool did_count = counts(seen);
-        if (seen.seen_at < sent_at) {
-            ++seen.completed_runs;
-        }
-        if (did_count && !counts(seen)) {
-            withdraw(fingerprint, server_start, "completed");
-        }
+}
+
+void crash_registry::halve_completed_runs() {
+    for (auto& [digest, runs] : completed_runs_) {
+        runs /= 2;
     }
+    std::erase_if(completed_runs_, [](const auto& entry) { return entry.second == 0; });
 }
 
 void crash_registry::on_tick(time_point now, const std::function<std::optional<server_view>()>& view) {
+    if (now >= next_halving_) {
+        next_halving_ = now + completed_runs_half_life;
+        halve_completed_runs();
+    }
     if (now < next_decision_ && now < next_cleanup_) {
         return;
     }
@@ -230,28 +238,33 @@
 }
 
 bool crash_registry::is_refused(const request_fingerprint& fingerprint) const {
-    return crashes(fingerprint) >= crash_limit_;
+    return is_refused(fingerprint, crashes(fingerprint));
 }
 
-bool crash_registry::is_due_to_tell(const sighting& seen, std::uint32_t crashes, report_scope scope,
-                                    time_point now) const {
-    if (!counts(seen)) {
+bool crash_registry::is_refused(const request_fingerprint& fingerprint, std::uint32_t crashes) const {
+    if (crashes < crash_limit_) {
         return false;
     }
+    const auto completed = completed_runs_.find(fingerprint.digest);
+    return completed == completed_runs_.end() || completed->second < completed_runs_per_crash * crashes;
+}
+
+bool crash_registry::is_recent(const sighting& seen, std::uint32_t crashes, report_scope scope,
+                               time_point now) {
+    const duration age = now - seen.known_at;
     if (scope == report_scope::urgent) {
-        return seen.is_own && crashes > 1 && now - seen.known_at < urgent_report_time;
+        return seen.is_own && crashes > 1 && age < urgent_report_time;
     }
-    const bool is_standing = scope == report_scope::standing && crashes >= crash_limit_;
-    const duration limit = crashes > 1 ? duration{report_time} : duration{single_report_time};
-    return is_standing || now - seen.known_at < limit;
+    return age < (crashes > 1 ? duration{report_time} : duration{single_report_time});
 }
 
 std::vector<crash_sighting> crash_registry::reports(report_scope scope, time_point now) const {
     std::vector<std::pair<std::uint32_t, crash_sighting>> due;
     for (const auto& [fingerprint, found] : requests_) {
         const std::uint32_t crashes = count(found);
+        const bool is_standing = scope == report_scope::standing && is_refused(fingerprint, crashes);
         for (const auto& [server_start, seen] : found) {
-            if (is_due_to_tell(seen, crashes, scope, now)) {
+            if (counts(seen) && (is_standing || is_recent(seen, crashes, scope, now))) {
                 due.emplace_back(crashes, crash_sighting{fingerprint, server_start, seen.seen_at,
                                                          seen.state == server_state::ended});
             }
@@ -273,7 +286,8 @@
 std::vector<crash_sighting> crash_registry::refused_sightings() const {
     std::vector<crash_sighting> refused;
     for (const auto& [fingerprint, found] : requests_) {
-        if (count(found) < crash_limit_ || refused.size() + found.size() > max_reports_per_message) {
+        if (!is_refused(fingerprint, count(found)) ||
+            refused.size() + found.size() > max_reports_per_message) {
             continue;
         }
         for (const auto& [server_start, seen] : found) {
--- a/modules/serving/crash_registry_test.cpp
+++ b/modules/serving/crash_registry_test.cpp
@@ -23,7 +23,8 @@
     CPPUNIT_TEST(server_that_lived_may_crash_later);
     CPPUNIT_TEST(list_that_is_not_read_refutes_no_crash);
     CPPUNIT_TEST(completed_run_does_not_clear_crashes);
-    CPPUNIT_TEST(request_that_rarely_coincides_with_crashes_is_not_refused);
+    CPPUNIT_TEST(request_whose_runs_mostly_succeed_is_not_refused);
+    CPPUNIT_TEST(success_of_long_ago_does_not_excuse_crashes);
     CPPUNIT_TEST(servers_that_end_together_count_each);
     CPPUNIT_TEST(request_without_a_body_is_that_of_its_caller);
     CPPUNIT_TEST(request_with_a_body_is_the_same_for_all_callers);
@@ -147,25 +148,37 @@
     void completed_run_does_not_clear_crashes() {
         registry_.on_broken(request_, start(1), now_);
         registry_.on_broken(request_, start(2), now_ + seconds{1});
-        registry_.on_completed(request_, now_ + seconds{2});
+        registry_.on_completed(request_);
         registry_.on_broken(request_, start(3), now_ + seconds{3});
         CPPUNIT_ASSERT(registry_.is_refused(request_));
         tick(now_ + seconds{12}, {});
-        registry_.on_completed(request_, now_ + seconds{2});
+        registry_.on_completed(request_);
         CPPUNIT_ASSERT(registry_.is_refused(request_));
     }
 
-    void request_that_rarely_coincides_with_crashes_is_not_refused() {
-        for (std::uint64_t server = 1; server <= 4; ++server) {
-            const time_point crashed_at = now_ + std::chrono::minutes{server};
-            registry_.on_broken(request_, start(server), crashed_at);
-            tick(crashed_at + seconds{8}, {});
-            for (int run = 0; run < 50; ++run) {
-                registry_.on_completed(request_, crashed_at + seconds{9});
-            }
-            CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, registry_.crashes(request_));
+    // Popular requests are often in flight on a server that another request ends.
+    void request_whose_runs_mostly_succeed_is_not_refused() {
+        for (int run = 0; run < 50; ++run) {
+            registry_.on_completed(request_);
+        }
+        crash_three_servers();
+        CPPUNIT_ASSERT(!registry_.is_refused(request_));
+        CPPUNIT_ASSERT(registry_.refused_sightings().empty());
+        for (std::uint64_t server = 4; server <= 6; ++server) {
+            registry_.on_broken(request_, start(server), now_);
         }
-        CPPUNIT_ASSERT(registry_.reports(scope::standing, now_ + std::chrono::minutes{4}).empty());
+        CPPUNIT_ASSERT_MESSAGE("it ends one server in ten runs", registry_.is_refused(request_));
+    }
+
+    void success_of_long_ago_does_not_excuse_crashes() {
+        for (int run = 0; run < 50; ++run) {
+            registry_.on_completed(request_);
+        }
+        for (int step = 0; step < 5; ++step) {
+            tick(now_ + seconds{10 * step}, {});
+        }
+        crash_three_servers();
+        CPPUNIT_ASSERT(registry_.is_refused(request_));
     }
 
     // Copies of a request may run at the same time.
@@ -253,6 +266,7 @@
         }
         tick(now_ + seconds{8}, {});
         tick(now_ + std::chrono::minutes{61}, {});
+        registry_.on_report({request_, start(1), now_, true}, now_ + std::chrono::minutes{61});
         CPPUNIT_ASSERT(!registry_.is_refused(request_));
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, registry_.size());
     }
--- a/modules/serving/include/lovageledge/serving/crash_registry.hpp
+++ b/modules/serving/include/lovageledge/serving/crash_registry.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace lovageledge {
@@ -99,8 +100,8 @@
                             can't answer on a connection of the former one
         @param sent_at when that request was sent */
     void on_answered(const server_start_id& server_start, time_point connected_at, time_point sent_at);
-    /** Records that a server has run a request to its end, with success. @param sent_at when it was sent */
-    void on_completed(const request_fingerprint& fingerprint, time_point sent_at);
+    /** Records that a server has run a request to its end, with success. */
+    void on_completed(const request_fingerprint& fingerprint);
     /** Decides the sightings that are due and discards outdated ones.
         @param view returns what the platform lists, or nothing while that can't be read; called only if
                     needed */
@@ -147,8 +148,6 @@
         server_state state = server_state::unknown;
         /** If it lives: when that was known last. */
         time_point lived_at{};
-        /** Complete runs of the request since, on this gateway. */
-        std::uint32_t completed_runs = 0;
     };
     using sightings = std::map<server_start_id, sighting>;
     struct answer {
@@ -167,8 +166,10 @@
     void decide_and_expire(time_point now, const server_view* view);
     /** Discards what matters least, so that sightings can be added. */
     void make_room();
-    bool is_due_to_tell(const sighting& seen, std::uint32_t crashes, report_scope scope,
-                        time_point now) const;
+    bool is_refused(const request_fingerprint& fingerprint, std::uint32_t crashes) const;
+    static bool is_recent(const sighting& seen, std::uint32_t crashes, report_scope scope, time_point now);
+    /** Lets the weight of completed runs decline with their age. */
+    void halve_completed_runs();
 
     std::uint32_t crash_limit_;
     std::function<void(const withdrawn_sighting&)> on_withdrawn_ = [](const withdrawn_sighting&) {};
@@ -177,6 +178,9 @@
     std::map<server_start_id, std::set<request_fingerprint>> suspects_;
     /** The latest answer of each server start. */
     std::map<server_start_id, answer> answers_;
+    /** Recent successful runs at this gateway. */
+    std::unordered_map<std::uint64_t, std::uint32_t> completed_runs_;
+    time_point next_halving_{};
     std::size_t sighting_count_ = 0;
     time_point next_decision_ = time_point::max();
     time_point next_cleanup_{};
--- a/tests/gateway/gateway_stop_test.cpp
+++ b/tests/gateway/gateway_stop_test.cpp
@@ -96,6 +96,7 @@
         gateway target{context_, limited, platform::make_wire_codec(), port()};
         error why;
         CPPUNIT_ASSERT_MESSAGE(why.text(), target.start(why));
+        target.on_records_complete();
         target.on_configuration(configuration());
         target.on_server(listing(server));
         target.on_server_list({server_name{"server"}});
@@ -151,6 +152,7 @@
         gateway target{context_, settings(), platform::make_wire_codec(), port()};
         error why;
         CPPUNIT_ASSERT_MESSAGE(why.text(), target.start(why));
+        target.on_records_complete();
         target.on_configuration(configuration());
         target.on_server(listing(server));
         target.on_server_list({server_name{"server"}});
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -76,6 +76,7 @@
     CPPUNIT_TEST(retry_of_a_request_that_crashed_three_servers_is_not_sent);
     CPPUNIT_TEST(broken_answers_count_as_crashes_after_the_head);
     CPPUNIT_TEST(copies_that_differ_in_their_query_are_the_same_request);
+    CPPUNIT_TEST(nothing_is_served_before_the_refused_requests_are_known);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* plain_path = "/plain/";
@@ -300,6 +301,24 @@
         CPPUNIT_ASSERT_EQUAL(3, runs.load());
     }
 
+    // A gateway that has just started would let requests crash more servers.
+    void nothing_is_served_before_the_refused_requests_are_known() {
+        std::atomic<int> runs{0};
+        const scripted_server server{[&](blocking_connection& connection, int) {
+            connection.read_message();
+            ++runs;
+            connection.write(response("200 OK", run_headers("2"), ""));
+            connection.read_message();
+        }};
+        start({&server});
+        asio::post(gateway_->context,
+                   [&] { gateway_->state.serves_without_records_from = time_point::max(); });
+        CPPUNIT_ASSERT(has_status(request(plain_path, "1"), 503));
+        CPPUNIT_ASSERT_EQUAL(0, runs.load());
+        asio::post(gateway_->context, [&] { gateway_->state.has_read_records = true; });
+        CPPUNIT_ASSERT(has_status(request(plain_path, "2"), 200));
+    }
+
     void broken_answers_count_as_crashes_after_the_head() {
         std::atomic<int> runs{0};
         const auto script = [&runs](blocking_connection& connection, int) {
