The soak sends requests that crash servers, mixed with its faults

Copies reach random gateways, some at the same time; a part answers 500 instead of crashing; sound requests of another address share path and method.

--- a/tests/soak/order_history.py
+++ b/tests/soak/order_history.py
@@ -7,7 +7,7 @@
 
 Order = collections.namedtuple("Order", "arrived_at holder fence server started_at_ms zone")
 # The end is infinite while the fault lasts. The kind is "pause", "kill", "stop" (from SIGTERM to the end of the process),
-# "restart" (from the end of a stopped process to its next start) or "link".
+# "restart" (from the end of a stopped process to its next start), "link" or, for the store, "store".
 Disturbance = collections.namedtuple("Disturbance", "kind gateway start end")
 
 
@@ -30,6 +30,10 @@
         orders = sorted(self.orders)
         return find_shared_fences(orders) + self.find_lower_fences(orders) + self.find_turns(orders)
 
+    def is_disturbed(self, names, at, window_s):
+        """Whether one of the gateways or the store was disturbed at a time, or in the window before."""
+        return any(d.gateway in names and d.start <= at <= d.end + window_s for d in self.disturbances)
+
     def is_late(self, order):
         """Whether an order may have been sent before a pause of its sender or an outage of the server's link."""
         ends = [d.end for d in self.disturbances if d.kind == "pause" and d.gateway == order.holder]
--- a/tests/soak/server.py
+++ b/tests/soak/server.py
@@ -41,7 +41,7 @@
         self.leaving_told_at = {}  # When a gateway first got an answer that announces the leaving, by gateway.
         self.pause_s = 0.0         # Requests are refused with the wish for a pause of this length.
         self.pauses = {}           # Begin and end of the pause and arrivals in it, by gateway.
-        self.crash_trigger = None  # A function of request id, path and body: "crash", "fail" (answer 500) or None.
+        self.crash_trigger = None  # A function of server, request id, path and body: "crash", "fail" (answer 500) or None.
         self.on_crash = None       # Called when the trigger has ended the server.
 
     def entry(self, address, state="ready"):
@@ -147,7 +147,7 @@
         self.running += 1
         self.in_use[adapter] = self.in_use.get(adapter, 0) + 1
         try:
-            effect = self.crash_trigger(request_id, path, body) if self.crash_trigger else None
+            effect = self.crash_trigger(self, request_id, path, body) if self.crash_trigger else None
             crashes = effect == "crash"
             if effect == "fail":
                 await self._respond(writer, headers, 500, {}, [f"X-Response-Seal: {request_id}"])
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,6 +9,7 @@
 - Servers are not told to load more adapters than they have slots.
 - One gateway at a time gives orders in a zone, see order_history.py.
 - Servers that are leaving get no new requests.
+- A request that crashes servers reaches few of them once it has crashed three.
 - A new configuration takes effect within its limit, and existing routes are never denied.
 - Graceful shutdowns interrupt no requests, and requests are served again after the last fault.
 """
@@ -34,6 +35,11 @@
 LEAVING_LIMIT_S = 4.0      # The gateways' setting leaving_limit_ms.
 CONFIGURATION_LIMIT_S = 4.0
 GRACE_S = 8.0
+RESTART_S = 1.1            # A crashed server starts again after this time,
+EXPIRY_S = 3.6             # and the platform drops the entry of its former start after this one.
+CRASH_LIMIT = 3            # After this many servers have ended under a request,
+STABILITY_WINDOW_S = 4.0   # and this time has passed for gateways that nothing disturbs,
+MAX_LATE_ARRIVALS = 3      # at most this many of its copies may reach servers.
 RECOVERY_LIMIT_S = 4.0     # Time limits are not checked until this long after a fault.
 
 
@@ -56,6 +62,24 @@
             self.violations.append(f"{request_id} ran twice: {self.runs[request_id]}")
 
 
+class CrashingRequest:
+    """A request that ends the servers that run it, and what became of its copies."""
+
+    def __init__(self, name, method, path, body, headers):
+        self.name, self.method, self.path, self.body, self.headers = name, method, path, body, headers
+        self.arrivals, self.crashes = [], {}  # Arrivals as (time, gateway), and when each server ended.
+
+    def violations(self, history):
+        if len(self.crashes) < CRASH_LIMIT:
+            return []
+        third = sorted(self.crashes.values())[CRASH_LIMIT - 1]
+        late = [round(at - third, 2) for at, gateway in self.arrivals
+                if at > third + STABILITY_WINDOW_S and not history.is_disturbed({gateway, "store"}, at, STABILITY_WINDOW_S)]
+        return [] if len(late) <= MAX_LATE_ARRIVALS else [
+            f"{self.name} ({self.method} {self.path}) reached servers {len(late)} times after it had crashed three, "
+            f"{late} s later; {len(self.crashes)} ended"]
+
+
 class Soak:
     """One run with one seed: the deployment, its callers and the injected faults."""
 
@@ -66,7 +90,8 @@
         self.servers, self.relays, self.processes, self.stop_times = {}, {}, {}, {}
         self.version, self.fault_period_until, self.next_port = 0, 0.0, port + 500
         self.outcomes, self.listeners = {}, []
-        self.is_over = False
+        self.crashing_requests, self.crash_random = {}, random.Random(seed + 1)
+        self.is_over, self.replacements = False, []
 
     # Deployment
 
@@ -98,6 +123,7 @@
         server.relay_listener = await server.relay.serve(f"127.0.0.1:{port + 1}")
         self.listeners += [await server.serve(f"127.0.0.1:{port}"), server.relay_listener]
         server.address = f"127.0.0.1:{port + 1}"
+        server.crash_trigger, server.on_crash = self.effect_of, self.replace_crashed_server
         self.servers[name] = server
         await self.store.put("servers", name, server.entry(server.address))
 
@@ -380,6 +406,7 @@
     async def store_fault(self):
         seconds = self.random.uniform(0.5, 5)
         self.extend_fault_period(seconds)
+        end_fault = self.observations.history.begin("store", "store", time.monotonic())
         mode = self.random.choice(["busy", "silent", "reset", "slow", "lost", "history"])
         if mode == "slow":
             self.store.response_delay_s = 0.2
@@ -391,14 +418,17 @@
             self.store.fault_mode = mode
         await asyncio.sleep(seconds)
         self.store.fault_mode, self.store.response_delay_s, self.store.unanswered_writes = None, 0.0, 0
+        end_fault(time.monotonic())
 
     async def late_writes(self):
         """Lets the store carry out conditional writes late, in half of the cases while holders are paused."""
         delays, pauses_holder = [self.random.uniform(1, 6) for _ in range(4)], self.random.random() < 0.5
         self.extend_fault_period(12)
+        end_fault = self.observations.history.begin("store", "store", time.monotonic())
         self.store.late_write_delay = lambda name, spec: delays.pop() if delays else None
         await (self.pause_holder() if pauses_holder else asyncio.sleep(6))
         self.store.late_write_delay = None
+        end_fault(time.monotonic())
 
     def pick_server(self):
         """Picks a server that is not leaving, or None if it is the last of its service."""
@@ -417,6 +447,58 @@
             await asyncio.sleep(2)
             await self.store.remove("servers", server.name)
 
+    async def send_crashing_request(self):
+        """Sends copies of a request that crashes servers, some of them at the same time, each to a random gateway."""
+        rng, name = self.crash_random, f"crash-{len(self.crashing_requests)}"
+        method, path, headers = rng.choice([("GET", "/read/x", []), ("POST", "/read/x", []), ("POST", "/book/x", []), (
+            "POST", "/stream/x", ["X-Model: base/a1", "X-Token-Usage: 100,32"])])
+        body = b"" if method == "GET" else name.encode()
+        request = self.crashing_requests[name] = CrashingRequest(name, method, path, body, headers)
+        end = time.monotonic() + rng.uniform(8, 16)
+        while time.monotonic() < end:
+            await asyncio.gather(*(self.send_copy(request) for _ in range(rng.choice([1, 1, 1, 2, 3]))))
+            await asyncio.sleep(rng.uniform(0.2, 1.5))
+
+    async def send_copy(self, request):
+        running = [i for i in range(self.gateway_count) if self.accepts_callers(i)]
+        if not running:
+            return
+        index, request_id = self.crash_random.choice(running), f"{request.name}-{self.crash_random.getrandbits(64):016x}"
+        kind = "safe" if request.path.startswith("/read") else "unsafe"
+        self.observations.requests[request_id] = (kind, request.path, request.body)
+        self.observations.entries[request_id] = (index, time.monotonic())
+        lines = [f"{request.method} {request.path} HTTP/1.1", "Host: soak", f"X-Request-Id: {request_id}",
+                 "X-Deadline-Ms: 3000", f"Content-Length: {len(request.body)}", *request.headers]
+        await self.request_once(self.port + 100 + index, "\r\n".join(lines).encode() + b"\r\n\r\n" + request.body,
+                                4.0, caller="127.0.0.9")
+
+    def effect_of(self, server, request_id, _path, _body):
+        """Returns what a request does to the server that runs it: "crash", "fail" or None."""
+        request = self.crashing_requests.get("-".join(request_id.split("-")[:2]))
+        if request is None:
+            return None
+        request.arrivals.append((time.monotonic(), self.gateway_name(self.observations.entries[request_id][0])))
+        if self.crash_random.random() < 0.15:
+            return "fail"
+        request.crashes.setdefault(server.name, time.monotonic())
+        return "crash"
+
+    async def replace_crashed_server(self, server):
+        """Starts a server again after a request has crashed it, and lets the entry of its former start expire."""
+        self.extend_fault_period(EXPIRY_S)
+        server.relay_listener.close()
+        is_known = self.servers.pop(server.name, None) is not None
+
+        async def replace():
+            await asyncio.sleep(RESTART_S)
+            if is_known and server.leaving_since is None:
+                await self.add_server(server.service, server.zone)
+            await asyncio.sleep(EXPIRY_S - RESTART_S)
+            while self.store.fault_mode:
+                await asyncio.sleep(EXPIRY_S)  # The platform counts the silence anew after an outage.
+            await self.store.remove("servers", server.name)
+        self.replacements.append(asyncio.create_task(replace()))
+
     async def drain_server(self):
         server = self.pick_server()
         if server:
@@ -448,7 +530,7 @@
 
     async def inject_faults(self, seconds):
         kinds = [self.planned_stop, self.kill, self.pause, self.hangup, self.cut_store, self.store_fault, self.crash_server,
-                 self.drain_server, self.server_fault, self.configure, self.pause_holder, self.cut_holder, self.late_writes]
+                 self.drain_server, self.server_fault, self.configure, self.pause_holder, self.cut_holder, self.late_writes, self.send_crashing_request]
         end, tasks = time.monotonic() + seconds, []
         while time.monotonic() < end:
             await asyncio.sleep(self.random.uniform(0.3, 2.5))
@@ -456,6 +538,7 @@
             print(f"  {time.monotonic() - self.started_at:6.2f} s {fault.__name__}", flush=True)
             tasks.append(asyncio.create_task(fault()))
         await asyncio.gather(*tasks)
+        await asyncio.gather(*self.replacements)
 
     async def refresh_entries(self):
         """Periodically rewrites the servers' entries, which lag behind what the servers hold, as on the platform."""
@@ -488,6 +571,8 @@
         await asyncio.gather(*tasks)
         await asyncio.sleep(2.5)
         self.observations.violations += self.observations.history.violations()
+        for request in self.crashing_requests.values():
+            self.observations.violations += request.violations(self.observations.history)
 
     def kill_gateways(self):
         for process in self.processes.values():
--- a/tests/soak/test_crashing_request.py
+++ b/tests/soak/test_crashing_request.py
@@ -83,7 +83,7 @@
         await asyncio.gather(*self.replacements)
 
     def check_crashes(self, method, path, body, headers=()):
-        self.trigger = lambda _, run_path, run_body: "crash" if run_path == path and run_body == body else None
+        self.trigger = lambda _server, _request_id, run_path, run_body: "crash" if run_path == path and run_body == body else None
         self.run_scenario(lambda: self.send_repeatedly(method, path, body, headers))
         self.assertGreater(len(self.crashed), 0)
         self.assertLessEqual(len(self.crashed), CRASH_LIMIT, f"servers that ended: {self.crashed}")
@@ -92,7 +92,7 @@
 
     def mark_crashing(self, fails=lambda arrival: False):
         """Lets requests whose id begins with "crash" end their server, except for those that fail, by number of arrival."""
-        def trigger(request_id, _path, _body):
+        def trigger(_server, request_id, _path, _body):
             if not request_id.startswith("crash"):
                 return None
             self.arrivals.append(time.monotonic())
