BUDGET: the caller's address is no part of a request's fingerprint

Sound requests with the same path and no body are refused with the crashing ones, unless they mostly succeed.

--- a/modules/serving/crash_registry.cpp
+++ b/modules/serving/crash_registry.cpp
@@ -36,11 +36,10 @@
 
 } // namespace
 
-request_fingerprint make_request_fingerprint(std::string_view caller, std::string_view host,
-                                             std::string_view method, std::string_view path,
-                                             std::string_view body) {
+request_fingerprint make_request_fingerprint(std::string_view host, std::string_view method,
+                                             std::string_view path, std::string_view body) {
     std::string text;
-    for (const std::string_view part : {body.empty() ? caller : std::string_view{}, host, method, path}) {
+    for (const std::string_view part : {host, method, path}) {
         text.append(part).push_back('\n'); // None of these parts can contain a line break.
     }
     return {stable_hash(text.append(body))};
--- a/modules/serving/include/lovageledge/serving/crash_registry.hpp
+++ b/modules/serving/include/lovageledge/serving/crash_registry.hpp
@@ -20,14 +20,12 @@
     auto operator<=>(const request_fingerprint&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
-/** Derives the fingerprint of a request. A body is taken to determine what a request does to a server,
-   whoever sends it; a request without one is that of its caller only. Thread-safe.
-    @param caller the caller's address
+/** Derives the fingerprint of a request. Who sends it is left out: copies come from several addresses.
+    Thread-safe.
     @param host the host of the matched route
     @param path the path without the query, in which copies may differ */
-request_fingerprint make_request_fingerprint(std::string_view caller, std::string_view host,
-                                             std::string_view method, std::string_view path,
-                                             std::string_view body);
+request_fingerprint make_request_fingerprint(std::string_view host, std::string_view method,
+                                             std::string_view path, std::string_view body);
 
 /** Identifies one start of a backend server, the same on all gateways. */
 struct server_start_id {
--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -204,12 +204,6 @@
     });
 }
 
-std::string http_exchange::caller_address() const {
-    boost::system::error_code failure;
-    const auto endpoint = stream_.socket().remote_endpoint(failure);
-    return failure ? std::string{} : endpoint.address().to_string();
-}
-
 bool http_exchange::has_caller_left() {
     if (is_aborted_ || !stream_.socket().is_open()) {
         return true;
--- a/modules/transport/include/lovageledge/transport/http_server.hpp
+++ b/modules/transport/include/lovageledge/transport/http_server.hpp
@@ -86,8 +86,6 @@
         forwarded response, before it is complete. Data from the caller ends the watch. */
     void on_close(std::function<void()> callback);
 
-    /** @returns the IP address at the other end of the connection, or an empty string if that is gone */
-    std::string caller_address() const;
     /** @returns true if the caller is known to have closed its connection. Asks the kernel, so that a closure
         is noticed before on_close() reports it, which takes a turn of the executor. */
     bool has_caller_left();
