--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -117,8 +117,7 @@
 request_fingerprint request_handler::make_fingerprint() const {
     // The query is left out, since copies of a request may differ in it.
     const std::string_view method = to_string_view(exchange_.request().method_string());
-    return make_request_fingerprint(exchange_.caller_address(), route_->host, method, path_,
-                                    exchange_.body());
+    return make_request_fingerprint(route_->host, method, path_, exchange_.body());
 }
 
 bool request_handler::is_quarantined() {
