--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -410,6 +410,10 @@
         if (is_suspicious && !is_ended_by_stop_) {
             record_broken_answer(listing);
         }
+        const bool was_silent = is_suspicious && (is_caller_gone_ || state_.now() >= limit);
+        if (was_silent && connection->sent_requests() > 1) {
+            pool_.close_all(listing.name); // Whatever silenced this connection may have silenced the others.
+        }
         co_return has_stream_started_ ? attempt_outcome::stream_interrupted : attempt_outcome::unknown;
     }
     const bool is_other_server = attributes.server && *attributes.server != listing.name;
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -76,6 +76,7 @@
     CPPUNIT_TEST(retry_of_a_request_that_crashed_three_servers_is_not_sent);
     CPPUNIT_TEST(broken_answers_count_as_crashes_after_the_head);
     CPPUNIT_TEST(copies_that_differ_in_their_query_are_the_same_request);
+    CPPUNIT_TEST(kept_connections_are_closed_when_one_of_them_has_fallen_silent);
     CPPUNIT_TEST(nothing_is_served_before_the_refused_requests_are_known);
     CPPUNIT_TEST_SUITE_END();
 
@@ -319,6 +320,24 @@
         CPPUNIT_ASSERT(has_status(request(plain_path, "2"), 200));
     }
 
+    void kept_connections_are_closed_when_one_of_them_has_fallen_silent() {
+        const scripted_server server{[&](blocking_connection& connection, int) {
+            const std::string first = connection.read_message();
+            std::this_thread::sleep_for(milliseconds{100});
+            connection.write(stream_head(id_of(first)) + chunk(event(1)) + stream_end);
+            connection.read_message();
+            connection.read_message(); // Returns when the gateway closes the connection.
+        }};
+        start({&server});
+        std::thread other{[&] { request(stream_path, "1"); }};
+        request(stream_path, "2");
+        other.join();
+        CPPUNIT_ASSERT_EQUAL(2, server.connections());
+        CPPUNIT_ASSERT(!has_status(request(stream_path, "3", 400), 200));
+        CPPUNIT_ASSERT(has_status(request(stream_path, "4", 400), 200));
+        CPPUNIT_ASSERT_EQUAL(3, server.connections());
+    }
+
     void broken_answers_count_as_crashes_after_the_head() {
         std::atomic<int> runs{0};
         const auto script = [&runs](blocking_connection& connection, int) {
