BUDGET: a request that has succeeded is remembered longer than its weight

Cause: a gateway with few runs forgot within 10 s that the request had ever succeeded, one that had just started never knew, and then nothing succeeds any more; and requests that crash servers explained a popular one's crashes only once they had three themselves, which it reaches first if several crash servers in turn. Change: a success is remembered for 5 minutes; two crashes without a success are enough to explain another's; explained sightings are not told to peers, which could not tell which of the two succeeds.

--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -593,7 +593,7 @@
     }
     const bool is_success = head.status >= 200 && head.status < 300;
     if (is_success) {
-        state_.crashes.on_completed(fingerprint_);
+        state_.crashes.on_completed(fingerprint_, state_.now());
     }
     if (is_caller_gone_) {
         co_return attempt_outcome::finished;
@@ -666,7 +666,7 @@
             co_return attempt_outcome::finished;
         }
         if (is_end) {
-            state_.crashes.on_completed(fingerprint_);
+            state_.crashes.on_completed(fingerprint_, state_.now());
             co_await exchange_.end_stream();
             log_finished(head.status, "done");
             co_return attempt_outcome::finished;
--- a/modules/serving/crash_registry.cpp
+++ b/modules/serving/crash_registry.cpp
@@ -19,10 +19,14 @@
     told. */
 constexpr auto living_lifetime = seconds{90};
 /** A request with this many recent successful runs per crash at a gateway is not what ends its servers. */
-constexpr std::uint32_t completed_runs_per_crash = 10;
-constexpr auto completed_runs_half_life = seconds{10};
-/** Beyond that, rare requests are forgotten. */
-constexpr std::size_t max_completed_requests = 8'192;
+constexpr std::uint32_t successful_runs_per_crash = 10;
+constexpr auto successful_runs_half_life = seconds{10};
+/** A request without a success explains the crashes of others once it has this many itself. */
+constexpr std::uint32_t min_explaining_crashes = 2;
+/** How long it is remembered that a request has succeeded at all. */
+constexpr auto success_lifetime = std::chrono::minutes{5};
+/** Beyond that, only requests with many recent runs are remembered. */
+constexpr std::size_t max_successful_requests = 8'192;
 /** How long a request's only sighting is told: two or three messages. Most have other causes than the
     request. */
 constexpr auto single_report_time = milliseconds{600};
@@ -147,24 +151,30 @@
     }
 }
 
-void crash_registry::on_completed(const request_fingerprint& fingerprint) {
-    ++completed_runs_[fingerprint.digest];
-    if (completed_runs_.size() > max_completed_requests) {
-        halve_completed_runs();
+void crash_registry::on_completed(const request_fingerprint& fingerprint, time_point now) {
+    successful_runs& runs = successful_runs_[fingerprint.digest];
+    ++runs.recent;
+    runs.last_at = now;
+    if (successful_runs_.size() > max_successful_requests) {
+        std::erase_if(successful_runs_, [](const auto& entry) { return entry.second.recent <= 1; });
+    }
+    if (successful_runs_.size() > max_successful_requests) {
+        age_successful_runs(now);
     }
 }
 
-void crash_registry::halve_completed_runs() {
-    for (auto& [digest, runs] : completed_runs_) {
-        runs /= 2;
+void crash_registry::age_successful_runs(time_point now) {
+    for (auto& [digest, runs] : successful_runs_) {
+        runs.recent /= 2;
     }
-    std::erase_if(completed_runs_, [](const auto& entry) { return entry.second == 0; });
+    std::erase_if(successful_runs_,
+                  [&](const auto& entry) { return now - entry.second.last_at > success_lifetime; });
 }
 
 void crash_registry::on_tick(time_point now, const std::function<std::optional<server_view>()>& view) {
-    if (now >= next_halving_) {
-        next_halving_ = now + completed_runs_half_life;
-        halve_completed_runs();
+    if (now >= next_aging_) {
+        next_aging_ = now + successful_runs_half_life;
+        age_successful_runs(now);
     }
     if (now < next_decision_ && now < next_cleanup_) {
         return;
@@ -241,19 +251,14 @@
     return found != requests_.end() && is_refused(fingerprint, found->second);
 }
 
-std::uint32_t crash_registry::completed_runs(const request_fingerprint& fingerprint) const {
-    const auto found = completed_runs_.find(fingerprint.digest);
-    return found == completed_runs_.end() ? 0 : found->second;
-}
-
 bool crash_registry::is_refused(const request_fingerprint& fingerprint, const sightings& found) const {
     const std::uint32_t crashes = count(found);
-    const std::uint32_t completed = completed_runs(fingerprint);
-    if (crashes < crash_limit_ || completed >= completed_runs_per_crash * crashes) {
-        return false;
+    const auto successful = successful_runs_.find(fingerprint.digest);
+    if (crashes < crash_limit_ || successful == successful_runs_.end()) {
+        return crashes >= crash_limit_;
     }
-    if (completed == 0) {
-        return true;
+    if (successful->second.recent >= successful_runs_per_crash * crashes) {
+        return false;
     }
     const auto unexplained = std::count_if(found.begin(), found.end(), [&](const auto& entry) {
         return counts(entry.second) && !is_explained_by_another(fingerprint, entry.first);
@@ -263,11 +268,14 @@
 
 bool crash_registry::is_explained_by_another(const request_fingerprint& fingerprint,
                                              const server_start_id& server_start) const {
+    if (!has_succeeded(fingerprint)) {
+        return false;
+    }
     const std::set<request_fingerprint>& suspects = suspects_.at(server_start);
     return std::any_of(suspects.begin(), suspects.end(), [&](const request_fingerprint& other) {
         const sightings& seen = requests_.at(other);
-        return other != fingerprint && counts(seen.at(server_start)) && count(seen) >= crash_limit_ &&
-               completed_runs(other) == 0;
+        return other != fingerprint && counts(seen.at(server_start)) &&
+               count(seen) >= min_explaining_crashes && !has_succeeded(other);
     });
 }
 
@@ -286,7 +294,10 @@
         const std::uint32_t crashes = count(found);
         const bool is_standing = scope == report_scope::standing && is_refused(fingerprint, found);
         for (const auto& [server_start, seen] : found) {
-            if (counts(seen) && (is_standing || is_recent(seen, crashes, scope, now))) {
+            // A peer that has just started could not tell which of the two requests succeeds.
+            const bool is_due = counts(seen) && (is_standing || is_recent(seen, crashes, scope, now)) &&
+                                !is_explained_by_another(fingerprint, server_start);
+            if (is_due) {
                 due.emplace_back(crashes, crash_sighting{fingerprint, server_start, seen.seen_at,
                                                          seen.state == server_state::ended});
             }
--- a/modules/serving/crash_registry_test.cpp
+++ b/modules/serving/crash_registry_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(request_whose_runs_mostly_succeed_is_not_refused);
     CPPUNIT_TEST(success_of_long_ago_does_not_excuse_crashes);
     CPPUNIT_TEST(request_on_servers_that_another_one_crashes_is_not_refused);
+    CPPUNIT_TEST(request_on_servers_that_several_others_crash_is_not_refused);
     CPPUNIT_TEST(servers_that_end_together_count_each);
     CPPUNIT_TEST(fingerprint_depends_on_host_method_path_and_body);
     CPPUNIT_TEST(sightings_that_were_refuted_do_not_come_back);
@@ -148,18 +149,18 @@
     void completed_run_does_not_clear_crashes() {
         registry_.on_broken(request_, start(1), now_);
         registry_.on_broken(request_, start(2), now_ + seconds{1});
-        registry_.on_completed(request_);
+        registry_.on_completed(request_, now_);
         registry_.on_broken(request_, start(3), now_ + seconds{3});
         CPPUNIT_ASSERT(registry_.is_refused(request_));
         tick(now_ + seconds{12}, {});
-        registry_.on_completed(request_);
+        registry_.on_completed(request_, now_);
         CPPUNIT_ASSERT(registry_.is_refused(request_));
     }
 
     // Popular requests are often in flight on a server that another request ends.
     void request_whose_runs_mostly_succeed_is_not_refused() {
         for (int run = 0; run < 50; ++run) {
-            registry_.on_completed(request_);
+            registry_.on_completed(request_, now_);
         }
         crash_three_servers();
         CPPUNIT_ASSERT(!registry_.is_refused(request_));
@@ -172,7 +173,7 @@
 
     void request_on_servers_that_another_one_crashes_is_not_refused() {
         const request_fingerprint sound{2};
-        registry_.on_completed(sound);
+        registry_.on_completed(sound, now_);
         crash_three_servers();
         for (std::uint64_t server = 1; server <= 3; ++server) {
             registry_.on_broken(sound, start(server), now_);
@@ -180,20 +181,41 @@
         CPPUNIT_ASSERT(registry_.is_refused(request_));
         CPPUNIT_ASSERT(!registry_.is_refused(sound));
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, registry_.refused_sightings().size());
+        crash_registry restarted{3};
+        for (const crash_sighting& sighting : registry_.reports(scope::standing, now_)) {
+            restarted.on_report(sighting, now_);
+        }
+        CPPUNIT_ASSERT(restarted.is_refused(request_));
+        CPPUNIT_ASSERT_MESSAGE("it can't tell which of the two succeeds", !restarted.is_refused(sound));
+        tick(now_ + seconds{20}, {});
+        tick(now_ + seconds{40}, {});
+        CPPUNIT_ASSERT_MESSAGE("no run for a while", !registry_.is_refused(sound));
         for (std::uint64_t server = 4; server <= 6; ++server) {
             registry_.on_broken(sound, start(server), now_);
         }
         CPPUNIT_ASSERT_MESSAGE("crashes that nothing else explains", registry_.is_refused(sound));
     }
 
+    // Several requests crash servers, none of them enough yet to be refused.
+    void request_on_servers_that_several_others_crash_is_not_refused() {
+        const request_fingerprint sound{9};
+        registry_.on_completed(sound, now_);
+        for (std::uint64_t server = 1; server <= 6; ++server) {
+            registry_.on_broken({100 + server / 2}, start(server), now_);
+            registry_.on_broken({100 + server / 2}, start(server + 10), now_);
+            registry_.on_broken(sound, start(server), now_);
+        }
+        CPPUNIT_ASSERT(!registry_.is_refused(sound));
+    }
+
     void success_of_long_ago_does_not_excuse_crashes() {
         for (int run = 0; run < 50; ++run) {
-            registry_.on_completed(request_);
+            registry_.on_completed(request_, now_);
         }
         for (int step = 0; step < 5; ++step) {
             tick(now_ + seconds{10 * step}, {});
         }
-        crash_three_servers();
+        crash_three_servers(); // Nothing else explains them.
         CPPUNIT_ASSERT(registry_.is_refused(request_));
     }
 
--- a/modules/serving/include/lovageledge/serving/crash_registry.hpp
+++ b/modules/serving/include/lovageledge/serving/crash_registry.hpp
@@ -99,7 +99,7 @@
         @param sent_at when that request was sent */
     void on_answered(const server_start_id& server_start, time_point connected_at, time_point sent_at);
     /** Records that a server has run a request to its end, with success. */
-    void on_completed(const request_fingerprint& fingerprint);
+    void on_completed(const request_fingerprint& fingerprint, time_point now);
     /** Decides the sightings that are due and discards outdated ones.
         @param view returns what the platform lists, or nothing while that can't be read; called only if
                     needed */
@@ -152,6 +152,11 @@
         time_point connected_at{};
         time_point sent_at{};
     };
+    struct successful_runs {
+        /** Recent ones, with a weight that declines with their age. */
+        std::uint32_t recent = 0;
+        time_point last_at{};
+    };
 
     bool add(const crash_sighting& seen, time_point now, bool is_own);
     void withdraw(const request_fingerprint& fingerprint, const server_start_id& server_start,
@@ -169,10 +174,12 @@
      */
     bool is_explained_by_another(const request_fingerprint& fingerprint,
                                  const server_start_id& server_start) const;
-    std::uint32_t completed_runs(const request_fingerprint& fingerprint) const;
+    bool has_succeeded(const request_fingerprint& fingerprint) const {
+        return successful_runs_.contains(fingerprint.digest);
+    }
     static bool is_recent(const sighting& seen, std::uint32_t crashes, report_scope scope, time_point now);
-    /** Lets the weight of completed runs decline with their age. */
-    void halve_completed_runs();
+    /** Lets the weight of successful runs decline with their age. */
+    void age_successful_runs(time_point now);
 
     std::uint32_t crash_limit_;
     std::function<void(const withdrawn_sighting&)> on_withdrawn_ = [](const withdrawn_sighting&) {};
@@ -181,9 +188,9 @@
     std::map<server_start_id, std::set<request_fingerprint>> suspects_;
     /** The latest answer of each server start. */
     std::map<server_start_id, answer> answers_;
-    /** Recent successful runs at this gateway. */
-    std::unordered_map<std::uint64_t, std::uint32_t> completed_runs_;
-    time_point next_halving_{};
+    /** Requests that have succeeded at this gateway, by the fingerprint's digest. */
+    std::unordered_map<std::uint64_t, successful_runs> successful_runs_;
+    time_point next_aging_{};
     std::size_t sighting_count_ = 0;
     time_point next_decision_ = time_point::max();
     time_point next_cleanup_{};
