--- a/modules/gateway/include/lovageledge/gateway/wire_codec.hpp
+++ b/modules/gateway/include/lovageledge/gateway/wire_codec.hpp
@@ -119,8 +119,7 @@
     /** @returns the revision up to which each kind was read, without the kinds that can't be read at
         present */
     std::function<std::vector<store_position>()> positions = [] { return std::vector<store_position>{}; };
-    /** @returns true if the list of the servers is known as it was at most the time ago within which changes
-        must be known */
+    /** @returns true if the list of the servers is at most as old as the change limit of their kind */
     std::function<bool()> are_servers_current = [] { return true; };
     /** Called with the holder's positions; for a limited time the holder's updates replace own watches of
         the store. Their ages include the time that the holder's message was on its way. */
--- a/modules/serving/crash_registry.cpp
+++ b/modules/serving/crash_registry.cpp
@@ -294,7 +294,7 @@
         const std::uint32_t crashes = count(found);
         const bool is_standing = scope == report_scope::standing && is_refused(fingerprint, found);
         for (const auto& [server_start, seen] : found) {
-            // A peer that has just started could not tell which of the two requests succeeds.
+            // A peer that has just started doesn't know which of the two requests has succeeded.
             const bool is_due = counts(seen) && (is_standing || is_recent(seen, crashes, scope, now)) &&
                                 !is_explained_by_another(fingerprint, server_start);
             if (is_due) {
