A newer version of an adapter no longer lifts the requirement of the one before

Cause: version_registry kept one announcement for each adapter; a newer one took the place of one that was already due, and the time since it was due. Change: each announcement keeps its deadline, bounded in number. A request that needs a version names the one that its server holds, since a server refuses any other: required and newest may now differ. Conclusion: a fact and its deadline belong together; a later fact adds its own.

--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -443,6 +443,11 @@
     parameters.resume_after = resume_after_;
     state_.codec.append_parameters(head, parameters);
     const bool has_body = !exchange_.body().empty() || request.count(http::field::content_length) > 0 ||
+        if (parameters.version) {
+            // A server refuses any other version than the expected one, also a newer one.
+            const auto held = server.listing.weights.version_of(work_.weights);
+            parameters.version = std::max(*parameters.version, held.value_or(0));
+        }
                           request.count(http::field::transfer_encoding) > 0;
     if (has_body) {
         head += fmt::format("Content-Length: {}\r\n", exchange_.body().size());
--- a/modules/serving/include/lovageledge/serving/version_registry.hpp
+++ b/modules/serving/include/lovageledge/serving/version_registry.hpp
@@ -5,14 +5,16 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace lovageledge {
 
 /**
-    The newest announced version of each adapter and base model, and when this instance learned of it.
+    The announced versions of each adapter and base model, and when this instance learned of them.
 
     An older version may still be used for a grace period after a newer one was announced, so that the new
-    version can be loaded without interrupting service. Not thread-safe.
+    version can be loaded without interrupting service. Each version has a grace period of its own, which
+   later announcements don't extend. Not thread-safe.
 */
 class version_registry {
 public:
@@ -31,14 +33,23 @@
         allowed */
     std::optional<std::uint64_t> required(const adapter_ref& ref, time_point now,
                                           duration longest_wait = duration::zero()) const;
+    /** @returns the number of announcements that are kept for an adapter or base model */
+    std::size_t kept_announcements(const adapter_ref& ref) const;
 
 private:
     struct announcement {
         std::uint64_t version = 0;
         time_point learned_at{};
     };
+
+    /** @returns how long after an announcement the version is required of every request */
+    duration grace_period() const { return limit_ / 2; }
+    bool is_due(const announcement& known, time_point now, duration longest_wait) const;
+
     duration limit_ = std::chrono::milliseconds{5000};
-    std::map<adapter_ref, announcement> announcements_;
+    /** Announcements in ascending order of version and time: the newest that is required of every request,
+       and those after it. */
+    std::map<adapter_ref, std::vector<announcement>> announcements_;
 };
 
 } // namespace lovageledge
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -81,6 +81,7 @@
     CPPUNIT_TEST(requests_with_a_part_that_crashed_three_servers_are_not_sent);
     CPPUNIT_TEST(trial_goes_on_after_a_server_that_did_not_run_it);
     CPPUNIT_TEST(stream_that_ends_with_its_connection_is_cut_unless_its_events_are_complete);
+    CPPUNIT_TEST(server_that_holds_more_than_the_required_version_runs_the_request);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* plain_path = "/plain/";
@@ -232,6 +233,28 @@
         }
     }
 
+    // While the newest version is in its grace period, the one before it is required, which few servers hold.
+    void server_that_holds_more_than_the_required_version_runs_the_request() {
+        const scripted_server server{[](blocking_connection& connection, int) {
+            const std::string message = connection.read_message();
+            const std::string headers = message.find("X-Expect-Version: 3\r\n") != std::string::npos
+                                            ? run_headers(id_of(message))
+                                            : id_header(id_of(message)) + "X-Not-Executed: 1\r\n";
+            connection.write(response("200 OK", headers, ""));
+            connection.read_message();
+        }};
+        start({&server});
+        gateway_->stop();
+        const adapter_ref adapter{"base", "a1"};
+        gateway_state& state = gateway_->state;
+        state.directory.find(server_name{"server-1"})->listing.weights.adapters[adapter] = 3;
+        state.versions.on_announced(adapter, 2, state.now() - std::chrono::seconds{8});
+        state.versions.on_announced(adapter, 3, state.now());
+        gateway_->context.restart();
+        gateway_->run();
+        CPPUNIT_ASSERT(has_status(request(plain_path, "1"), 200));
+    }
+
     void success_without_the_servers_digest_is_not_passed_on() {
         scripted_server server{[&](blocking_connection& connection, int) {
             connection.read_message();
