Chunk lines, extensions and trailers without end no longer fill the memory

Cause: the read buffers had no largest size; Beast limits heads and bodies, but a chunk's size line, extension and trailers only by the buffer. The two new tests (10 forms of answers, 8 of requests) fail on the code before. The end of an event is searched for in new bytes only. Conclusion: what the sender decides needs a limit at the reader.

--- a/modules/serving/event_framer.cpp
+++ b/modules/serving/event_framer.cpp
@@ -26,12 +26,16 @@
     return first == std::string_view::npos ? std::string_view{} : line.substr(first, last - first + 1);
 }
 
-/** @returns the offset just past the last empty line, or 0 if no event is complete */
-std::size_t end_of_complete_events(const std::string& bytes) {
-    const std::size_t lf = bytes.rfind("\n\n");
-    const std::size_t crlf = bytes.rfind("\r\n\r\n");
-    const std::size_t lf_end = lf == std::string::npos ? 0 : lf + 2;
-    const std::size_t crlf_end = crlf == std::string::npos ? 0 : crlf + 4;
+/** @param known_bytes bytes at the beginning in which no event is complete
+    @returns the offset just past the last empty line, or 0 if no event is complete */
+std::size_t end_of_complete_events(std::string_view bytes, std::size_t known_bytes) {
+    constexpr std::string_view longest_end = "\r\n\r\n";
+    const std::size_t skipped = known_bytes - std::min(known_bytes, longest_end.size() - 1);
+    const std::string_view searched = bytes.substr(skipped);
+    const std::size_t lf = searched.rfind("\n\n");
+    const std::size_t crlf = searched.rfind(longest_end);
+    const std::size_t lf_end = lf == std::string_view::npos ? 0 : skipped + lf + 2;
+    const std::size_t crlf_end = crlf == std::string_view::npos ? 0 : skipped + crlf + longest_end.size();
     return std::max(lf_end, crlf_end);
 }
 
@@ -70,8 +74,9 @@
 }
 
 std::optional<std::string> event_framer::append(std::string_view bytes) {
+    const std::size_t known_bytes = partial_.size();
     partial_.append(bytes);
-    const std::size_t end = end_of_complete_events(partial_);
+    const std::size_t end = end_of_complete_events(partial_, known_bytes);
     std::string complete = partial_.substr(0, end);
     partial_.erase(0, end);
     has_event_ = has_event_ || end > 0;
--- a/modules/transport/forwarding_connection.cpp
+++ b/modules/transport/forwarding_connection.cpp
@@ -17,8 +17,6 @@
 constexpr int keep_alive_idle_s = 1;
 constexpr int keep_alive_interval_s = 1;
 constexpr int max_keep_alive_probes = 2;
-/** Maximum size of the status line and headers of a response. */
-constexpr std::uint32_t max_head_bytes = 64 * 1024;
 
 template <int Level, int Name>
 using int_option = asio::detail::socket_option::integer<Level, Name>;
--- a/modules/transport/http_connection.cpp
+++ b/modules/transport/http_connection.cpp
@@ -6,7 +6,6 @@
 namespace lovageledge {
 namespace {
 
-constexpr std::size_t max_response_body_bytes = std::size_t{64} * 1024 * 1024;
 constexpr std::size_t read_buffer_bytes = std::size_t{16} * 1024;
 
 } // namespace
@@ -105,7 +104,7 @@
     }
     boost::system::error_code code;
     http::response_parser<http::string_body> parser;
-    parser.body_limit(max_response_body_bytes);
+    parser.body_limit(max_body_bytes_);
     co_await http::async_read(stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, code));
     if (code) {
         close_with_error("http.read", code, why);
@@ -128,7 +127,7 @@
     }
     boost::system::error_code code;
     http::response_parser<http::buffer_body> parser;
-    parser.body_limit(max_response_body_bytes);
+    parser.body_limit(max_body_bytes_);
     co_await http::async_read_header(stream_, buffer_, parser,
                                      asio::redirect_error(asio::use_awaitable, code));
     if (code) {
--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -1,5 +1,6 @@
 #include "lovageledge/transport/http_server.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cassert>
 #include <cerrno>
@@ -13,6 +14,8 @@
 constexpr std::size_t discard_buffer_bytes = std::size_t{16} * 1024;
 constexpr std::size_t discard_limit_bytes = std::size_t{16} * 1024 * 1024;
 constexpr auto discard_timeout = std::chrono::seconds{2};
+/** Largest chunk size line or trailers of a request, beside what the limit on headers allows. */
+constexpr std::size_t framing_bytes = std::size_t{16} * 1024;
 
 std::string percent_decoded(std::string_view text) {
     std::string decoded;
@@ -282,7 +285,7 @@
 asio::awaitable<void> http_server::serve_connection(asio::ip::tcp::socket socket) {
     ++connections_;
     beast::tcp_stream stream{std::move(socket)};
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{limits_.header_bytes + framing_bytes};
     std::uint64_t stream_id = 0;
     {
         const std::scoped_lock lock{streams_mutex_};
@@ -337,6 +340,8 @@
 
 asio::awaitable<bool> http_server::serve_request(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
     boost::system::error_code code;
+    // The limit on headers may have grown since the connection was accepted.
+    buffer.max_size(std::max<std::size_t>(buffer.max_size(), limits_.header_bytes + framing_bytes));
     if (buffer.size() == 0) {
         const bool has_request = co_await wait_for_request(stream, buffer);
         if (!has_request) {
--- a/modules/transport/include/lovageledge/transport/forwarding_connection.hpp
+++ b/modules/transport/include/lovageledge/transport/forwarding_connection.hpp
@@ -72,10 +72,13 @@
     void abort_with_error(const char* step, const boost::system::error_code& code, error& why);
     void update_idle_limit(const response_head& head);
 
+    /** Maximum size of the status line and headers of a response. */
+    static constexpr std::uint32_t max_head_bytes = 64 * 1024;
     static constexpr std::size_t read_buffer_bytes = std::size_t{8} * 1024;
 
     beast::tcp_stream stream_;
-    beast::flat_buffer buffer_;
+    /** Holds what the parser can't process yet: a head, a chunk's size line or the trailers must fit. */
+    beast::flat_buffer buffer_{max_head_bytes + read_buffer_bytes};
     std::optional<http::response_parser<http::buffer_body>> parser_;
     std::array<char, read_buffer_bytes> read_buffer_{};
     std::string address_;
--- a/modules/transport/include/lovageledge/transport/http_connection.hpp
+++ b/modules/transport/include/lovageledge/transport/http_connection.hpp
@@ -52,7 +52,12 @@
 */
 class http_connection {
 public:
-    explicit http_connection(const asio::any_io_executor& executor) : stream_{executor} {}
+    static constexpr std::size_t default_max_body_bytes = std::size_t{64} * 1024 * 1024;
+
+    /** @param max_body_bytes largest response body; a longer one is a failure */
+    explicit http_connection(const asio::any_io_executor& executor,
+                             std::size_t max_body_bytes = default_max_body_bytes)
+        : stream_{executor}, max_body_bytes_{max_body_bytes} {}
 
     /** Opens the connection; an open one is closed first. @param address "IP:PORT"
         @returns false and sets why if the connection can't be opened within the timeout */
@@ -89,8 +94,12 @@
     asio::awaitable<bool> send(http_request request, duration timeout, error& why, bool& may_have_sent);
     void close_with_error(const char* step, const boost::system::error_code& code, error& why);
 
+    /** Largest head, chunk size line or trailers of a response. */
+    static constexpr std::size_t max_buffer_bytes = std::size_t{64} * 1024;
+
     beast::tcp_stream stream_;
-    beast::flat_buffer buffer_;
+    std::size_t max_body_bytes_;
+    beast::flat_buffer buffer_{max_buffer_bytes};
     std::string address_;
 };
 
--- /dev/null
+++ b/tests/gateway/http_server_test.cpp
@@ -0,0 +1,105 @@
+#include "lovageledge/transport/http_server.hpp"
+
+#include "scripted_server.hpp"
+
+#include <atomic>
+#include <cppunit/extensions/HelperMacros.h>
+#include <limits>
+#include <spdlog/fmt/fmt.h>
+#include <thread>
+
+namespace lovageledge {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** An HTTP server with real connections and callers that misbehave. */
+class http_server_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(http_server_test);
+    CPPUNIT_TEST(request_parts_without_end_are_not_kept);
+    CPPUNIT_TEST_SUITE_END();
+
+    asio::io_context context_;
+    asio::io_context caller_context_;
+    std::unique_ptr<http_server> server_;
+    std::thread thread_;
+
+    static asio::awaitable<void> answer(http_exchange& exchange) {
+        co_await exchange.respond(200, std::to_string(exchange.body().size()), "text/plain");
+    }
+
+    void start(const http_limits& limits) {
+        server_ = std::make_unique<http_server>(context_, limits, answer);
+        error why;
+        CPPUNIT_ASSERT_MESSAGE(why.text(), server_->listen("127.0.0.1:0", why));
+        thread_ = std::thread{[this] { context_.run(); }};
+    }
+
+    blocking_connection connect() { return connect_to(caller_context_, server_->port()); }
+
+    static std::string request(const std::string& body, bool keeps_alive = false) {
+        return fmt::format("POST / HTTP/1.1\r\nHost: test\r\n{}Content-Length: {}\r\n\r\n{}",
+                           keeps_alive ? "" : "Connection: close\r\n", body.size(), body);
+    }
+
+    static bool has_status(const std::string& answer, int status) {
+        return answer.rfind("HTTP/1.1 " + std::to_string(status), 0) == 0;
+    }
+
+    static constexpr std::size_t flood_limit = std::size_t{96} * 1024 * 1024;
+
+    /** Sends a head and then the same bytes until the server closes, or the limit is reached.
+        @returns the number of bytes sent */
+    std::size_t flood(const std::string& head, const std::string& bytes, std::size_t limit = flood_limit) {
+        constexpr std::size_t block_bytes = std::size_t{64} * 1024;
+        blocking_connection caller = connect();
+        std::string block;
+        while (block.size() < block_bytes) {
+            block += bytes;
+        }
+        std::size_t sent = 0;
+        for (bool is_open = caller.write(head); is_open && sent < limit; sent += block.size()) {
+            is_open = caller.write(block);
+        }
+        return sent;
+    }
+
+public:
+    void tearDown() override {
+        context_.stop();
+        if (thread_.joinable()) {
+            thread_.join();
+        }
+    }
+
+    // A chunk line without end in a caller's request filled the memory of the process, which was killed.
+    void request_parts_without_end_are_not_kept() {
+        start(http_limits{});
+        // What the server discards after its refusal, with the system's socket buffers.
+        constexpr std::size_t most_read = std::size_t{48} * 1024 * 1024;
+        const std::string head = "POST / HTTP/1.1\r\nHost: test\r\n";
+        const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+        const std::vector<std::pair<std::string, std::string>> floods{
+            {chunked, "1"},
+            {chunked + "5;extension=", "x"},
+            {chunked + "5\r\nhello\r\n0\r\nTrailer: ", "x"},
+            {chunked + "0\r\n", "Trailer: x\r\n"},
+            {head + "Header: ", "x"},
+            {head, "Header: x\r\n"},
+            {"POST /", "x"},
+            {chunked, "5\r\nhello\r\n"},
+        };
+        for (const auto& [begin, bytes] : floods) {
+            const std::size_t sent = flood(begin, bytes);
+            CPPUNIT_ASSERT_MESSAGE(begin + std::to_string(sent), sent <= most_read);
+        }
+        blocking_connection sound = connect();
+        sound.write(request("sound"));
+        CPPUNIT_ASSERT(has_status(sound.read_all(), 200));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(http_server_test);
+
+} // namespace
+} // namespace lovageledge
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -82,6 +82,7 @@
     CPPUNIT_TEST(trial_goes_on_after_a_server_that_did_not_run_it);
     CPPUNIT_TEST(stream_that_ends_with_its_connection_is_cut_unless_its_events_are_complete);
     CPPUNIT_TEST(server_that_holds_more_than_the_required_version_runs_the_request);
+    CPPUNIT_TEST(response_parts_without_end_are_not_kept);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* plain_path = "/plain/";
@@ -233,6 +234,35 @@
         }
     }
 
+    /** A script of a server that answers each request with a head and then the same bytes until the gateway
+        closes, at most flood_limit bytes. @param sent receives the number of bytes */
+    static scripted_server::script flooding(std::string head, std::string bytes,
+                                            std::atomic<std::size_t>& sent) {
+        return
+            [head = std::move(head), bytes = std::move(bytes), &sent](blocking_connection& connection, int) {
+                const std::string message = connection.read_message();
+                if (message.empty()) {
+                    return;
+                }
+                std::string block = head;
+                for (auto id = block.find("ID"); id != std::string::npos; id = block.find("ID")) {
+                    block.replace(id, 2, id_of(message));
+                }
+                while (sent < flood_limit && connection.write(block)) {
+                    sent += block.size();
+                    block.clear();
+                    while (block.size() < flood_block) {
+                        block += bytes;
+                    }
+                }
+                connection.read_message();
+            };
+    }
+    static constexpr std::size_t flood_block = std::size_t{64} * 1024;
+    static constexpr std::size_t flood_limit = std::size_t{96} * 1024 * 1024;
+    /** What a gateway may read of a part that can't be right, with the systems' socket buffers. */
+    static constexpr std::size_t most_read = std::size_t{32} * 1024 * 1024;
+
     // While the newest version is in its grace period, the one before it is required, which few servers hold.
     void server_that_holds_more_than_the_required_version_runs_the_request() {
         const scripted_server server{[](blocking_connection& connection, int) {
@@ -255,6 +285,33 @@
         CPPUNIT_ASSERT(has_status(request(plain_path, "1"), 200));
     }
 
+    // A chunk line without end filled the memory of the process, which was killed.
+    void response_parts_without_end_are_not_kept() {
+        const std::string head = "HTTP/1.1 200 OK\r\n" + run_headers("ID");
+        const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+        const std::vector<std::pair<std::string, std::string>> floods{
+            {chunked, "x"},
+            {chunked + "5;extension=", "x"},
+            {chunked + "5\r\nhello\r\n0\r\nTrailer: ", "x"},
+            {chunked + "0\r\n", "Trailer: x\r\n"},
+            {"HTTP/1.1 200 ", "x"},
+            {head + "Header: ", "x"},
+            {head, "Header: x\r\n"},
+            {head + "Content-Length: 1000000000000\r\n\r\n", "x"},
+            {head + "\r\n", "x"},
+            {chunked, "5\r\nhello\r\n"},
+        };
+        for (const auto& [begin, bytes] : floods) {
+            std::atomic<std::size_t> sent{0};
+            const scripted_server server{flooding(begin, bytes, sent)};
+            start({&server});
+            const std::string answer = request(plain_path, "1", 5000);
+            CPPUNIT_ASSERT_MESSAGE(begin + answer, has_status(answer, 502));
+            gateway_.reset();
+            CPPUNIT_ASSERT_MESSAGE(begin + std::to_string(sent), sent <= most_read);
+        }
+    }
+
     void success_without_the_servers_digest_is_not_passed_on() {
         scripted_server server{[&](blocking_connection& connection, int) {
             connection.read_message();
