Requests end at their deadline while a server keeps sending

Callers saw: no answer, or one seconds after the deadline, while a server sent interim answers, answers to other requests or a refusal's body without end. Cause: a stream's timer ends only reads that have to wait; a loop over reads that find bytes never noticed it. The limit of a refusal's body was renewed by each read. Change: readers look at the clock themselves; skipped answers are counted. Conclusion: a limit has to be asked where time passes, not where one waits.

--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -39,6 +39,10 @@
 constexpr auto retry_after_stopping = milliseconds{50};
 /** Largest response body that is buffered before it is forwarded. */
 constexpr std::size_t max_buffered_bytes = std::size_t{8} * 1024 * 1024;
+/** Most interim responses and responses to other requests that are skipped before the one to this request. */
+constexpr int max_skipped_responses = 1000;
+/** Time in which the body of a refusal is read, so that its connection can be reused. */
+constexpr auto refusal_body_time = milliseconds{200};
 /** A request is refused if its first byte is expected only after this fraction of the remaining time. */
 constexpr double max_first_byte_share = 0.9;
 
@@ -514,12 +518,11 @@
     }
     if (attributes.is_not_run) {
         const attempt_outcome result = on_not_run_response(listing.name, *head, attributes);
-        // Reads the rest of the body, so that the connection can be reused.
+        const time_point body_limit = std::min(deadline_, state_.now() + refusal_body_time);
         error failure;
         std::optional<std::string_view> rest;
         do {
-            rest = co_await connection->read_some(std::min(deadline_, state_.now() + milliseconds{200}),
-                                                  failure);
+            rest = co_await connection->read_some(body_limit, failure);
         } while (rest && !rest->empty());
         pool_.release(listing, connection, state_.now());
         co_return result;
@@ -584,7 +587,7 @@
 request_handler::read_matching_head(const std::shared_ptr<forwarding_connection>& connection,
                                     const server_listing& listing, time_point limit,
                                     response_attributes& attributes) {
-    while (true) {
+    for (int skipped = 0; skipped < max_skipped_responses; ++skipped) {
         error failure;
         auto head = co_await connection->read_head(limit, failure);
         if (!head) {
@@ -609,6 +612,8 @@
             co_return std::nullopt;
         }
     }
+    last_error_ = "too many answers that are none to this request";
+    co_return std::nullopt;
 }
 
 request_handler::attempt_outcome request_handler::on_not_run_response(const server_name& server,
--- a/modules/transport/forwarding_connection.cpp
+++ b/modules/transport/forwarding_connection.cpp
@@ -123,6 +123,10 @@
         why = {"http.read", address_, "aborted"};
         co_return std::nullopt;
     }
+    if (has_passed(deadline)) {
+        abort_with_error("http.read", beast::error::timeout, why);
+        co_return std::nullopt;
+    }
     parser_.emplace();
     parser_->header_limit(max_head_bytes);
     parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -150,6 +154,10 @@
 asio::awaitable<std::optional<std::string_view>> forwarding_connection::read_some(time_point deadline,
                                                                                   error& why) {
     while (!parser_->is_done()) {
+        if (has_passed(deadline)) {
+            abort_with_error("http.read", beast::error::timeout, why);
+            co_return std::nullopt;
+        }
         parser_->get().body().data = read_buffer_.data();
         parser_->get().body().size = read_buffer_.size();
         stream_.expires_at(deadline);
--- a/modules/transport/http_connection.cpp
+++ b/modules/transport/http_connection.cpp
@@ -10,6 +10,10 @@
 
 } // namespace
 
+bool has_passed(time_point deadline) {
+    return std::chrono::steady_clock::now() >= deadline;
+}
+
 std::optional<asio::ip::tcp::endpoint> parse_endpoint(std::string_view text) {
     const std::size_t colon = text.rfind(':');
     if (colon == std::string_view::npos) {
@@ -99,13 +103,21 @@
 
 asio::awaitable<std::optional<http_response>>
 http_connection::exchange(http_request request, duration timeout, error& why, bool& may_have_sent) {
+    const time_point deadline = std::chrono::steady_clock::now() + timeout;
     if (!co_await send(std::move(request), timeout, why, may_have_sent)) {
         co_return std::nullopt;
     }
     boost::system::error_code code;
     http::response_parser<http::string_body> parser;
+    parser.eager(true);
     parser.body_limit(max_body_bytes_);
-    co_await http::async_read(stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, code));
+    while (!code && !parser.is_done()) {
+        co_await http::async_read_some(stream_, buffer_, parser,
+                                       asio::redirect_error(asio::use_awaitable, code));
+        if (!code && !parser.is_done() && has_passed(deadline)) {
+            code = beast::error::timeout;
+        }
+    }
     if (code) {
         close_with_error("http.read", code, why);
         co_return std::nullopt;
--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -305,9 +305,10 @@
     // Closing a socket with unread input resets the connection, and the caller might lose the response.
     boost::system::error_code code;
     stream.socket().shutdown(asio::socket_base::shutdown_send, code);
-    stream.expires_after(discard_timeout);
+    const time_point deadline = std::chrono::steady_clock::now() + discard_timeout;
+    stream.expires_at(deadline);
     std::array<char, discard_buffer_bytes> discard_buffer{};
-    for (std::size_t discarded = 0; !code && discarded < discard_limit_bytes;) {
+    for (std::size_t discarded = 0; !code && discarded < discard_limit_bytes && !has_passed(deadline);) {
         discarded += co_await stream.async_read_some(asio::buffer(discard_buffer),
                                                      asio::redirect_error(asio::use_awaitable, code));
     }
@@ -351,8 +352,16 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(limits_.header_bytes);
     parser.body_limit(limits_.body_bytes);
-    stream.expires_after(limits_.request_timeout);
-    co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, code));
+    parser.eager(true);
+    const time_point deadline = std::chrono::steady_clock::now() + limits_.request_timeout;
+    stream.expires_at(deadline);
+    while (!code && !parser.is_done()) {
+        co_await http::async_read_some(stream, buffer, parser,
+                                       asio::redirect_error(asio::use_awaitable, code));
+        if (!code && !parser.is_done() && has_passed(deadline)) {
+            code = beast::error::timeout;
+        }
+    }
     if (code == http::error::end_of_stream || !stream.socket().is_open()) {
         co_return false;
     }
--- a/modules/transport/include/lovageledge/transport/forwarding_connection.hpp
+++ b/modules/transport/include/lovageledge/transport/forwarding_connection.hpp
@@ -45,11 +45,12 @@
     /** Starts to write a request and returns at once.
         @param head request line and headers, including the empty line */
     void send(std::string head, std::string body);
-    /** Reads the status line and headers of the next response. @returns nothing and sets why on failure */
+    /** Reads the status line and headers of the next response. @returns nothing and sets why on failure, also
+        if the deadline has passed while the server keeps sending */
     asio::awaitable<std::optional<response_head>> read_head(time_point deadline, error& why);
     /** Reads the next part of the body.
-        @returns an empty view at the end of the body, nothing on failure; the view stays valid until the next
-        call */
+        @returns an empty view at the end of the body, nothing on failure as for read_head(); the view stays
+        valid until the next call */
     asio::awaitable<std::optional<std::string_view>> read_some(time_point deadline, error& why);
 
     /** Closes the connection with a TCP reset, so that the server drops the request and unsent bytes are
--- a/modules/transport/include/lovageledge/transport/http_connection.hpp
+++ b/modules/transport/include/lovageledge/transport/http_connection.hpp
@@ -41,6 +41,10 @@
     bool is_success() const { return status >= 200 && status < 300; }
 };
 
+/** @returns true if a deadline has passed. The timer of a stream ends only reads that have to wait: a loop
+   over reads must ask this too, or a peer that keeps sending holds it for ever. Thread-safe. */
+bool has_passed(time_point deadline);
+
 /** Parses an address of the form "IP:PORT". @returns nothing if the text is malformed. Thread-safe. */
 std::optional<asio::ip::tcp::endpoint> parse_endpoint(std::string_view text);
 
--- a/tests/gateway/http_server_test.cpp
+++ b/tests/gateway/http_server_test.cpp
@@ -17,6 +17,7 @@
 class http_server_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(http_server_test);
     CPPUNIT_TEST(request_parts_without_end_are_not_kept);
+    CPPUNIT_TEST(request_that_trickles_past_its_time_limit_ends);
     CPPUNIT_TEST_SUITE_END();
 
     asio::io_context context_;
@@ -97,6 +98,19 @@
         sound.write(request("sound"));
         CPPUNIT_ASSERT(has_status(sound.read_all(), 200));
     }
+
+    void request_that_trickles_past_its_time_limit_ends() {
+        http_limits limits;
+        limits.request_timeout = milliseconds{500};
+        start(limits);
+        const auto began = std::chrono::steady_clock::now();
+        // Each chunk of one byte is long, so that the limit on bodies is far away.
+        flood("POST / HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n\r\n",
+              "1;" + std::string(2000, 'e') + "\r\nx\r\n", std::numeric_limits<std::size_t>::max());
+        const auto discard_time = milliseconds{2000};
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - began <
+                       limits.request_timeout + discard_time + milliseconds{500});
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(http_server_test);
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -83,6 +83,8 @@
     CPPUNIT_TEST(stream_that_ends_with_its_connection_is_cut_unless_its_events_are_complete);
     CPPUNIT_TEST(server_that_holds_more_than_the_required_version_runs_the_request);
     CPPUNIT_TEST(response_parts_without_end_are_not_kept);
+    CPPUNIT_TEST(deadline_holds_while_the_server_keeps_sending);
+    CPPUNIT_TEST(refusal_with_a_body_without_end_does_not_hold_the_request);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* plain_path = "/plain/";
@@ -312,6 +314,43 @@
         }
     }
 
+    // A stream's timer ends only reads that have to wait, so that a request could stay open without an
+    // answer.
+    void deadline_holds_while_the_server_keeps_sending() {
+        const std::string head = "HTTP/1.1 200 OK\r\n" + run_headers("ID");
+        const std::string other = "HTTP/1.1 200 OK\r\n" + run_headers("other") + "Content-Length: 1\r\n\r\nx";
+        const std::vector<std::pair<std::string, std::string>> floods{
+            {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+            {"", other},
+            {"HTTP/1.1 200 OK\r\n" + run_headers("other") + "Content-Length: 1000000000000\r\n\r\n", "x"},
+            {head + "Transfer-Encoding: chunked\r\n\r\n", "1;" + std::string(200, 'e') + "\r\nx\r\n"},
+        };
+        constexpr int deadline_ms = 800;
+        for (const auto& [begin, bytes] : floods) {
+            std::atomic<std::size_t> sent{0};
+            const scripted_server server{flooding(begin, bytes, sent)};
+            start({&server});
+            const auto began = std::chrono::steady_clock::now();
+            const std::string answer = request(plain_path, "1", deadline_ms);
+            const auto took = std::chrono::steady_clock::now() - began;
+            CPPUNIT_ASSERT_MESSAGE(answer, has_status(answer, 502) || has_status(answer, 504));
+            CPPUNIT_ASSERT_MESSAGE(begin, took < milliseconds{deadline_ms + 500});
+            gateway_.reset();
+        }
+    }
+
+    void refusal_with_a_body_without_end_does_not_hold_the_request() {
+        std::atomic<std::size_t> sent{0};
+        const std::string head = "HTTP/1.1 503 Busy\r\n" + id_header("ID") +
+                                 "X-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const scripted_server server{flooding(head, chunk(std::string(64, 'x')), sent)};
+        start({&server});
+        const auto began = std::chrono::steady_clock::now();
+        const std::string answer = request(plain_path, "1", 3000);
+        CPPUNIT_ASSERT_MESSAGE(answer, has_status(answer, 503));
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - began < milliseconds{1500});
+    }
+
     void success_without_the_servers_digest_is_not_passed_on() {
         scripted_server server{[&](blocking_connection& connection, int) {
             connection.read_message();
