Silent connections give way to callers that ask

Callers saw: their connection closed without an answer, while as many others as the limit allows were open and said nothing. Cause: a connection over the limit was closed, however idle the others were; accepts that fail for want of descriptors were repeated at once. Change: the longest idle connection is closed for a new one; a pause after a failed accept; connections are registered by an object of their own. Conclusion: idle connections are what a server can take back.

--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -16,6 +16,8 @@
 constexpr auto discard_timeout = std::chrono::seconds{2};
 /** Largest chunk size line or trailers of a request, beside what the limit on headers allows. */
 constexpr std::size_t framing_bytes = std::size_t{16} * 1024;
+/** Pause after a failed accept. The usual cause, that no descriptors are left, lasts for a while. */
+constexpr auto accept_failure_pause = std::chrono::milliseconds{50};
 
 std::string percent_decoded(std::string_view text) {
     std::string decoded;
@@ -218,8 +220,8 @@
 }
 
 http_server::http_server(asio::io_context& context, http_limits limits, handler on_request)
-    : context_{context}, limits_{limits}, on_request_{std::move(on_request)}, acceptor_{asio::make_strand(
-                                                                                  context)} {}
+    : context_{context}, limits_{std::move(limits)},
+      on_request_{std::move(on_request)}, acceptor_{asio::make_strand(context)} {}
 
 bool http_server::listen(const std::string& address, error& why) {
     const auto endpoint = parse_endpoint(address);
@@ -240,6 +242,7 @@
     }
     if (code) {
         why = {"http.listen", address, code.message()};
+        acceptor_.close(code);
         return false;
     }
     asio::co_spawn(acceptor_.get_executor(), accept_loop(), asio::detached);
@@ -254,12 +257,12 @@
 }
 
 void http_server::reset_connections() {
-    const std::scoped_lock lock{streams_mutex_};
-    for (const auto& [stream_id, stream] : streams_) {
+    const std::scoped_lock lock{open_->mutex};
+    for (const auto& [stream_id, stream] : open_->streams) {
         asio::post(stream->get_executor(), [this, stream_id = stream_id] {
-            const std::scoped_lock inner_lock{streams_mutex_};
-            const auto entry = streams_.find(stream_id);
-            if (entry != streams_.end()) {
+            const std::scoped_lock inner_lock{open_->mutex};
+            const auto entry = open_->streams.find(stream_id);
+            if (entry != open_->streams.end()) {
                 boost::system::error_code ignored;
                 entry->second->socket().set_option(asio::socket_base::linger{true, 0}, ignored);
                 entry->second->socket().close(ignored);
@@ -268,12 +271,36 @@
     }
 }
 
+http_server::connection::connection(std::shared_ptr<connection_register> open, asio::ip::tcp::socket socket,
+                                    std::size_t buffer_bytes)
+    : open_{std::move(open)}, stream_{std::move(socket)}, buffer_{buffer_bytes} {
+    ++open_->count;
+    const std::scoped_lock lock{open_->mutex};
+    id_ = open_->next_id++;
+    open_->streams.emplace(id_, &stream_);
+}
+
+http_server::connection::~connection() {
+    const std::scoped_lock lock{open_->mutex};
+    open_->idle_since.erase(id_);
+    open_->streams.erase(id_);
+    --open_->count;
+}
+
 asio::awaitable<void> http_server::accept_loop() {
     while (acceptor_.is_open()) {
         boost::system::error_code code;
         asio::ip::tcp::socket socket = co_await acceptor_.async_accept(
             asio::make_strand(context_), asio::redirect_error(asio::use_awaitable, code));
-        if (code || connections_ >= limits_.connections) {
+        if (code) {
+            if (acceptor_.is_open()) {
+                close_longest_idle();
+                asio::steady_timer timer{co_await asio::this_coro::executor, accept_failure_pause};
+                co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, code));
+            }
+            continue;
+        }
+        if (open_->count >= limits_.connections && !close_longest_idle()) {
             continue;
         }
         socket.set_option(asio::ip::tcp::no_delay{true}, code);
@@ -283,22 +310,28 @@
 }
 
 asio::awaitable<void> http_server::serve_connection(asio::ip::tcp::socket socket) {
-    ++connections_;
-    beast::tcp_stream stream{std::move(socket)};
-    beast::flat_buffer buffer{limits_.header_bytes + framing_bytes};
-    std::uint64_t stream_id = 0;
-    {
-        const std::scoped_lock lock{streams_mutex_};
-        stream_id = next_stream_id_++;
-        streams_.emplace(stream_id, &stream);
-    }
-    while (co_await serve_request(stream, buffer)) {
+    connection caller{open_, std::move(socket), limits_.header_bytes + framing_bytes};
+    while (co_await serve_request(caller)) {
     }
-    {
-        const std::scoped_lock lock{streams_mutex_};
-        streams_.erase(stream_id);
+}
+
+bool http_server::close_longest_idle() {
+    const std::scoped_lock lock{open_->mutex};
+    const auto longest =
+        std::min_element(open_->idle_since.begin(), open_->idle_since.end(),
+                         [](const auto& left, const auto& right) { return left.second < right.second; });
+    if (longest == open_->idle_since.end()) {
+        return false;
     }
-    --connections_;
+    const std::uint64_t id = longest->first;
+    asio::post(open_->streams.at(id)->get_executor(), [open = open_, id] {
+        const std::scoped_lock inner_lock{open->mutex};
+        const bool still_waits = open->idle_since.erase(id) > 0;
+        if (still_waits) {
+            open->streams.at(id)->cancel();
+        }
+    });
+    return true;
 }
 
 asio::awaitable<void> http_server::discard_input(beast::tcp_stream& stream) {
@@ -316,78 +349,88 @@
 
 void http_server::close_idle_connections() {
     is_closing_ = true;
-    for (beast::tcp_stream* stream : idle_streams_) {
+    for (const auto& [id, turn] : open_->idle_since) {
         // A read that has already completed is not cancelled: its request is still served.
-        stream->cancel();
+        open_->streams.at(id)->cancel();
     }
 }
 
-asio::awaitable<bool> http_server::wait_for_request(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
+asio::awaitable<bool> http_server::wait_for_request(connection& caller) {
     boost::system::error_code code;
-    stream.expires_after(limits_.idle_timeout);
+    caller.stream().expires_after(limits_.idle_timeout);
     {
-        const std::scoped_lock lock{streams_mutex_};
-        idle_streams_.insert(&stream);
+        const std::scoped_lock lock{open_->mutex};
+        open_->idle_since[caller.id()] = open_->next_turn++;
     }
-    const std::size_t size = co_await stream.async_read_some(buffer.prepare(limits_.header_bytes),
-                                                             asio::redirect_error(asio::use_awaitable, code));
+    const std::size_t size = co_await caller.stream().async_read_some(
+        caller.buffer().prepare(limits_.header_bytes), asio::redirect_error(asio::use_awaitable, code));
     {
-        const std::scoped_lock lock{streams_mutex_};
-        idle_streams_.erase(&stream);
+        const std::scoped_lock lock{open_->mutex};
+        open_->idle_since.erase(caller.id());
     }
-    buffer.commit(size);
+    caller.buffer().commit(size);
     co_return !code;
 }
 
-asio::awaitable<bool> http_server::serve_request(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
-    boost::system::error_code code;
-    // The limit on headers may have grown since the connection was accepted.
-    buffer.max_size(std::max<std::size_t>(buffer.max_size(), limits_.header_bytes + framing_bytes));
-    if (buffer.size() == 0) {
-        const bool has_request = co_await wait_for_request(stream, buffer);
-        if (!has_request) {
-            co_return false;
-        }
-    }
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(limits_.header_bytes);
-    parser.body_limit(limits_.body_bytes);
-    parser.eager(true);
+asio::awaitable<boost::system::error_code>
+http_server::read_request(connection& caller, http::request_parser<http::string_body>& parser) {
     const time_point deadline = std::chrono::steady_clock::now() + limits_.request_timeout;
-    stream.expires_at(deadline);
+    caller.stream().expires_at(deadline);
+    boost::system::error_code code;
     while (!code && !parser.is_done()) {
-        co_await http::async_read_some(stream, buffer, parser,
+        co_await http::async_read_some(caller.stream(), caller.buffer(), parser,
                                        asio::redirect_error(asio::use_awaitable, code));
         if (!code && !parser.is_done() && has_passed(deadline)) {
             code = beast::error::timeout;
         }
     }
-    if (code == http::error::end_of_stream || !stream.socket().is_open()) {
+    co_return code;
+}
+
+asio::awaitable<void> http_server::refuse_unread(connection& caller, boost::system::error_code code) {
+    const unsigned status = code == http::error::header_limit   ? 431
+                            : code == http::error::body_limit   ? 413
+                            : code == beast::error::timeout     ? 408
+                                                                : 400;
+    http::request<http::string_body> empty_request;
+    empty_request.keep_alive(false);
+    http_exchange exchange{caller.stream(), std::move(empty_request), limits_};
+    nlohmann::json body{
+        {"error", {{"step", "http.read"}, {"reason", code.message()}, {"outcome", "not_run"}}}};
+    co_await exchange.respond(status, body.dump());
+    co_await discard_input(caller.stream());
+}
+
+asio::awaitable<bool> http_server::serve_request(connection& caller) {
+    // The limit on headers may have grown since the connection was accepted.
+    caller.buffer().max_size(
+        std::max<std::size_t>(caller.buffer().max_size(), limits_.header_bytes + framing_bytes));
+    if (caller.buffer().size() == 0) {
+        const bool has_request = co_await wait_for_request(caller);
+        if (!has_request) {
+            co_return false;
+        }
+    }
+    std::optional<http::request_parser<http::string_body>> parser{std::in_place};
+    parser->eager(true);
+    parser->header_limit(limits_.header_bytes);
+    parser->body_limit(limits_.body_bytes);
+    const boost::system::error_code code = co_await read_request(caller, *parser);
+    if (code == http::error::end_of_stream || !caller.stream().socket().is_open()) {
         co_return false;
     }
     if (code) {
-        const bool is_too_large = code == http::error::body_limit || code == http::error::header_limit;
-        const bool has_timed_out = code == beast::error::timeout;
-        const unsigned status = code == http::error::header_limit ? 431
-                                : is_too_large                    ? 413
-                                : has_timed_out                   ? 408
-                                                                  : 400;
-        http::request<http::string_body> empty_request;
-        empty_request.keep_alive(false);
-        http_exchange exchange{stream, std::move(empty_request), limits_};
-        nlohmann::json body{
-            {"error", {{"step", "http.read"}, {"reason", code.message()}, {"outcome", "not_run"}}}};
-        co_await exchange.respond(status, body.dump());
-        co_await discard_input(stream);
+        parser.reset(); // Frees the body while the caller is still sending.
+        co_await refuse_unread(caller, code);
         co_return false;
     }
-    http_exchange exchange{stream, parser.release(), limits_};
+    http_exchange exchange{caller.stream(), parser->release(), limits_};
     co_await on_request_(exchange);
     if (!exchange.has_responded() && !exchange.is_aborted()) {
         co_await exchange.respond(500,
                                   R"({"error":{"step":"http","reason":"no answer","outcome":"unknown"}})");
     }
-    co_return !is_closing_ && exchange.keeps_alive() && stream.socket().is_open();
+    co_return !is_closing_ && exchange.keeps_alive() && caller.stream().socket().is_open();
 }
 
 } // namespace lovageledge
--- a/modules/transport/include/lovageledge/transport/http_server.hpp
+++ b/modules/transport/include/lovageledge/transport/http_server.hpp
@@ -9,7 +9,6 @@
 #include <memory>
 #include <mutex>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace lovageledge {
@@ -20,7 +19,8 @@
     std::uint32_t header_bytes = 16 * 1024;
     /** Maximum size of a request body; longer ones are refused with status 413. */
     std::uint64_t body_bytes = std::uint64_t{1024} * 1024;
-    /** Maximum number of open connections; further ones are closed as soon as they are accepted. */
+    /** Maximum number of open connections. A further one takes the place of the longest idle one; if none is
+        idle, it is closed as soon as it is accepted. */
     std::uint32_t connections = 4096;
     /** Time in which a caller must send a complete request; after it, status 408 is returned. */
     duration request_timeout = std::chrono::seconds{10};
@@ -137,31 +137,64 @@
         is called on that thread. */
     void set_limits(const http_limits& limits) { limits_ = limits; }
     /** @returns the number of open connections. Thread-safe. */
-    std::uint32_t connections() const { return connections_; }
+    std::uint32_t connections() const { return open_->count; }
     /** @returns the number of connections from which a request is being read or answered. Precondition: as
         for set_limits(). */
-    std::size_t busy_connections() const { return streams_.size() - idle_streams_.size(); }
+    std::size_t busy_connections() const { return open_->streams.size() - open_->idle_since.size(); }
     /** @returns the port that the server listens on */
     std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
 
 private:
+    /** The open connections by identifier. Shared with them, since those of a server that is destroyed end
+       with its context. */
+    struct connection_register {
+        std::atomic<std::uint32_t> count{0};
+        std::mutex mutex;
+        std::map<std::uint64_t, beast::tcp_stream*> streams;
+        /** The turn in which each connection began to wait for a request; others are busy. */
+        std::map<std::uint64_t, std::uint64_t> idle_since;
+        std::uint64_t next_turn = 0;
+        std::uint64_t next_id = 0;
+    };
+
+    /** An open connection, registered from its accept until its end, however it ends. */
+    class connection {
+    public:
+        connection(std::shared_ptr<connection_register> open, asio::ip::tcp::socket socket,
+                   std::size_t buffer_bytes);
+        connection(const connection&) = delete;
+        connection& operator=(const connection&) = delete;
+        ~connection();
+
+        std::uint64_t id() const { return id_; }
+        beast::tcp_stream& stream() { return stream_; }
+        /** Received bytes that no request was read from yet. */
+        beast::flat_buffer& buffer() { return buffer_; }
+
+    private:
+        std::shared_ptr<connection_register> open_;
+        beast::tcp_stream stream_;
+        beast::flat_buffer buffer_;
+        std::uint64_t id_ = 0;
+    };
+
     asio::awaitable<void> accept_loop();
     asio::awaitable<void> serve_connection(asio::ip::tcp::socket socket);
-    asio::awaitable<bool> serve_request(beast::tcp_stream& stream, beast::flat_buffer& buffer);
-    asio::awaitable<bool> wait_for_request(beast::tcp_stream& stream, beast::flat_buffer& buffer);
+    asio::awaitable<bool> serve_request(connection& caller);
+    asio::awaitable<bool> wait_for_request(connection& caller);
+    /** Reads a request. */
+    asio::awaitable<boost::system::error_code>
+    read_request(connection& caller, http::request_parser<http::string_body>& parser);
+    asio::awaitable<void> refuse_unread(connection& caller, boost::system::error_code code);
     static asio::awaitable<void> discard_input(beast::tcp_stream& stream);
+    /** Closes the connection that has waited longest for a request. @returns false if none waits */
+    bool close_longest_idle();
 
     asio::io_context& context_;
     http_limits limits_;
     handler on_request_;
     asio::ip::tcp::acceptor acceptor_;
-    std::atomic<std::uint32_t> connections_{0};
-    std::mutex streams_mutex_;
-    /** All open connections by identifier, including idle ones. */
-    std::map<std::uint64_t, beast::tcp_stream*> streams_;
-    /** Connections that wait for a request. */
-    std::set<beast::tcp_stream*> idle_streams_;
-    std::uint64_t next_stream_id_ = 0;
+    std::shared_ptr<connection_register> open_ = std::make_shared<connection_register>();
     /** Set by close_idle_connections(): connections are closed after their current response. */
     bool is_closing_ = false;
 };
--- a/tests/gateway/http_server_test.cpp
+++ b/tests/gateway/http_server_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST_SUITE(http_server_test);
     CPPUNIT_TEST(request_parts_without_end_are_not_kept);
     CPPUNIT_TEST(request_that_trickles_past_its_time_limit_ends);
+    CPPUNIT_TEST(silent_connections_give_way_to_callers_that_ask);
     CPPUNIT_TEST_SUITE_END();
 
     asio::io_context context_;
@@ -111,6 +112,25 @@
         CPPUNIT_ASSERT(std::chrono::steady_clock::now() - began <
                        limits.request_timeout + discard_time + milliseconds{500});
     }
+
+    // Callers that connected and said nothing shut out all others for as long as they stayed.
+    void silent_connections_give_way_to_callers_that_ask() {
+        http_limits limits;
+        limits.connections = 8;
+        start(limits);
+        constexpr int silent_callers = 30;
+        std::vector<blocking_connection> silent;
+        silent.reserve(silent_callers);
+        for (int i = 0; i < silent_callers; ++i) {
+            silent.push_back(connect());
+        }
+        for (int i = 0; i < 10; ++i) {
+            blocking_connection caller = connect();
+            caller.write(request("sound"));
+            CPPUNIT_ASSERT(has_status(caller.read_all(), 200));
+        }
+        CPPUNIT_ASSERT(server_->connections() <= limits.connections + 1);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(http_server_test);
