One memory budget for all messages of a process

Callers saw: nothing yet; 40 answers in proper chunks without end, or 80 bodies that were withheld, were each within their limit and killed the process. Cause: each message had a limit and the process had none; a request's body was copied for each attempt, and the last copy stayed with the idle connection. Change: memory_budget, a quarter of memory_mb, from which all messages above 16 KiB draw; the largest that is still arriving is given up. Bodies are shared by the attempts. Conclusion: limits have to be added up where the memory is one.

--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -29,11 +29,12 @@
 constexpr std::uint32_t status_request_bytes = 8 * 1024;
 constexpr std::uint32_t status_connections = 64;
 
-http_limits to_http_limits(const caller_limits& limits, std::uint32_t connections) {
+http_limits to_http_limits(const caller_limits& limits, gateway_state& state) {
     http_limits result;
+    result.memory = state.memory;
     result.header_bytes = limits.header_bytes;
     result.body_bytes = limits.body_bytes;
-    result.connections = connections;
+    result.connections = state.settings.connections;
     result.request_timeout = limits.header_timeout;
     result.idle_timeout = limits.idle_timeout;
     return result;
@@ -53,7 +54,7 @@
                  platform_port platform)
     : context_{context}, state_{std::move(settings), std::move(codec), std::move(platform)},
       coordinator_{context, state_},
-      caller_server_{context, to_http_limits(caller_limits{}, state_.settings.connections),
+      caller_server_{context, to_http_limits(caller_limits{}, state_),
                      [this](http_exchange& exchange) { return serve(exchange); }},
       readiness_server_{context, status_limits(),
                         [this](http_exchange& exchange) { return serve_readiness(exchange); }},
@@ -98,6 +99,10 @@
 }
 
 asio::awaitable<void> gateway::serve_metrics(http_exchange& exchange) {
+    state_.counters.set("message_memory_held_bytes", state_.memory->held());
+    state_.counters.set("message_memory_limit_bytes", state_.memory->capacity());
+    state_.counters.set("caller_connections", caller_server_.connections());
+    state_.counters.set("caller_connections_busy", caller_server_.busy_connections());
     co_await exchange.respond(200, state_.counters.text(), "text/plain; version=0.0.4");
 }
 
@@ -109,7 +114,7 @@
         state_.serves_without_records_from = state_.now() + max_wait_for_records;
     }
     state_.routes = std::make_shared<const route_table>(std::move(configuration));
-    caller_server_.set_limits(to_http_limits(state_.routes->limits(), state_.settings.connections));
+    caller_server_.set_limits(to_http_limits(state_.routes->limits(), state_));
     state_.log.write(event::configuration_adopted,
                      fmt::format("revision={} digest= source={}", state_.routes->version(), source));
     coordinator_.on_servers_changed();
--- a/modules/gateway/gateway_settings.cpp
+++ b/modules/gateway/gateway_settings.cpp
@@ -119,6 +119,8 @@
     reader.text("log", "level", settings.log_level);
     read_fraction(reader, "limits", "link_mbps", settings.link_mbps);
     reader.number("limits", "connections", settings.connections, 16, 1'000'000);
+    reader.number("limits", "memory_mb", settings.memory_mb, gateway_settings::min_memory_mb,
+                  gateway_settings::max_memory_mb);
     reader.reject_unknown();
     if (!errors.empty()) {
         return std::nullopt;
--- a/modules/gateway/gateway_settings_test.cpp
+++ b/modules/gateway/gateway_settings_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(rejects_unknown_fields);
     CPPUNIT_TEST(reads_the_limits_of_order_holders);
     CPPUNIT_TEST(reports_a_flag_that_is_neither_true_nor_false);
+    CPPUNIT_TEST(reads_the_memory_of_the_process);
     CPPUNIT_TEST_SUITE_END();
 
     std::vector<std::string> errors_;
@@ -49,6 +50,14 @@
         CPPUNIT_ASSERT(errors_.front().rfind("line 20, [limits] connections", 0) == 0);
     }
 
+    void reads_the_memory_of_the_process() {
+        const auto settings = parse_gateway_settings(valid_settings + "[limits]\nmemory_mb = 260\n", errors_);
+        CPPUNIT_ASSERT(settings);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{65'000'000}, settings->message_memory());
+        CPPUNIT_ASSERT(!parse_gateway_settings(valid_settings + "[limits]\nmemory_mb = 0\n", errors_));
+        CPPUNIT_ASSERT(errors_.front().rfind("line 18, [limits] memory_mb", 0) == 0);
+    }
+
     void rejects_unknown_fields() {
         CPPUNIT_ASSERT(!parse_gateway_settings(valid_settings + "[policy]\nspeed = 1\n", errors_));
     }
--- a/modules/gateway/include/lovageledge/gateway/gateway_settings.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway_settings.hpp
@@ -45,6 +45,14 @@
     double wait_share = 0.5;
     /** Most open connections from callers. */
     std::uint32_t connections = 3000;
+    /** Memory in MB that the platform grants this process. */
+    std::uint32_t memory_mb = 128;
+    static constexpr std::uint32_t min_memory_mb = 16;
+    static constexpr std::uint32_t max_memory_mb = 10'000'000;
+
+    /** @returns the bytes that all messages together may take. The buffers that hold them may be twice as
+        large, and as much is left for everything else. */
+    std::size_t message_memory() const { return std::size_t{memory_mb} * 1'000'000 / 4; }
 };
 
 /** Parses settings in INI format. Thread-safe.
--- a/modules/gateway/include/lovageledge/gateway/gateway_state.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway_state.hpp
@@ -26,6 +26,8 @@
     bool may_serve() const { return routes && (has_read_records || now() >= serves_without_records_from); }
 
     gateway_settings settings;
+    /** The memory of all messages that are being received or forwarded. */
+    std::shared_ptr<memory_budget> memory;
     wire_codec codec;
     platform_port platform;
     /** The platform's store reader; refers to platform.store. */
@@ -55,6 +57,9 @@
     /** During a graceful shutdown, when all requests must have a response. */
     time_point answer_until = time_point::max();
     std::uint32_t requests_in_progress = 0;
+
+private:
+    void on_given_up(memory_use use, std::size_t bytes);
 };
 
 } // namespace lovageledge
--- a/modules/gateway/include/lovageledge/gateway/request_handler.hpp
+++ b/modules/gateway/include/lovageledge/gateway/request_handler.hpp
@@ -78,6 +78,10 @@
     asio::awaitable<std::optional<response_head>>
     read_matching_head(const std::shared_ptr<forwarding_connection>& connection,
                        const server_listing& listing, time_point limit, response_attributes& attributes);
+    /** @returns false if a response of this size is too long or there is no memory for it */
+    static bool has_room(memory_share& memory, std::size_t bytes);
+    /** @returns why has_room() has failed */
+    static std::string too_long_reason(const memory_share& memory);
     /** Processes what a response says about its server, whichever request it belongs to. */
     void process_notices(const server_listing& listing, const response_attributes& attributes);
     asio::awaitable<attempt_outcome>
@@ -168,6 +172,7 @@
     bool is_ended_by_stop_ = false;
     std::optional<response_head> error_response_head_;
     std::string error_response_body_;
+    std::unique_ptr<memory_share> error_response_memory_;
     std::string last_error_;
     /** When the caller should return, if that is known better than retry_after_transient. */
     std::optional<duration> retry_after_;
--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -37,7 +37,7 @@
 constexpr auto min_wait_of_suspicious_leave = milliseconds{1000};
 /** Retry-After while this instance stops and others can serve the request. */
 constexpr auto retry_after_stopping = milliseconds{50};
-/** Largest response body that is buffered before it is forwarded. */
+/** Largest response body, or event of a stream, that is buffered before it is forwarded. */
 constexpr std::size_t max_buffered_bytes = std::size_t{8} * 1024 * 1024;
 /** Most interim responses and responses to other requests that are skipped before the one to this request. */
 constexpr int max_skipped_responses = 1000;
@@ -443,15 +443,15 @@
     if (work_.needs_weights()) {
         parameters.priority = route_->priority;
         parameters.version = state_.versions.required(work_.weights, state_.now(), parameters.remaining);
-    }
-    parameters.resume_after = resume_after_;
-    state_.codec.append_parameters(head, parameters);
-    const bool has_body = !exchange_.body().empty() || request.count(http::field::content_length) > 0 ||
         if (parameters.version) {
             // A server refuses any other version than the expected one, also a newer one.
             const auto held = server.listing.weights.version_of(work_.weights);
             parameters.version = std::max(*parameters.version, held.value_or(0));
         }
+    }
+    parameters.resume_after = resume_after_;
+    state_.codec.append_parameters(head, parameters);
+    const bool has_body = !exchange_.body().empty() || request.count(http::field::content_length) > 0 ||
                           request.count(http::field::transfer_encoding) > 0;
     if (has_body) {
         head += fmt::format("Content-Length: {}\r\n", exchange_.body().size());
@@ -477,7 +477,7 @@
     sent_at_ = state_.now();
     framing_ = body_framing::none;
     received_bytes_ = 0;
-    connection->send(make_request_head(server), exchange_.body());
+    connection->send(make_request_head(server), exchange_.shared_body());
     used_connections_.push_back(connection);
     state_.directory.on_sent(listing.name, state_.now());
     time_point limit = deadline_;
@@ -662,17 +662,31 @@
     pending_tokens_ = 0;
 }
 
+bool request_handler::has_room(memory_share& memory, std::size_t bytes) {
+    return bytes <= max_buffered_bytes && memory.resize(bytes);
+}
+
+std::string request_handler::too_long_reason(const memory_share& memory) {
+    return memory.is_cut() ? "the answer was given up: it is the longest one, and memory is short"
+                           : "the answer is too long";
+}
+
 asio::awaitable<request_handler::attempt_outcome>
 request_handler::forward_buffered(const std::shared_ptr<forwarding_connection>& connection,
                                   const server_listing& listing, response_head head) {
     std::string body;
+    auto memory = std::make_unique<memory_share>(state_.memory, memory_use::response,
+                                                 [connection] { connection->abort(); });
     while (true) {
         error failure;
         const auto part = co_await connection->read_some(deadline_, failure);
-        const bool is_too_long = part && body.size() + part->size() > max_buffered_bytes;
+        const bool is_too_long = memory->is_cut() || (part && !has_room(*memory, body.size() + part->size()));
         if (!part || is_too_long) {
-            last_error_ = is_too_long ? "the answer is too long" : failure.text();
+            last_error_ = is_too_long ? too_long_reason(*memory) : failure.text();
             connection->abort();
+            if (is_too_long) {
+                state_.directory.on_failure(listing.name, state_.now());
+            }
             if (!is_too_long && !is_caller_gone_ && !is_ended_by_stop_) {
                 record_broken_answer(listing);
             }
@@ -684,6 +698,7 @@
         received_bytes_ += part->size();
         body.append(*part);
     }
+    memory->set_complete();
     const bool is_success = head.status >= 200 && head.status < 300;
     if (is_success) {
         record_success(listing);
@@ -695,6 +710,7 @@
         last_error_ = fmt::format("server answered {}", head.status);
         error_response_head_ = std::move(head);
         error_response_body_ = std::move(body);
+        error_response_memory_ = std::move(memory);
         co_return attempt_outcome::failed;
     }
     if (guarantees_not_run(head.status) && !route_->is_idempotent()) {
@@ -716,6 +732,7 @@
     const bool is_framed_by_events = is_resumable || framing_ == body_framing::close;
     const server_start_id server_start = make_server_start_id(listing.name, listing.started_at);
     framer_.begin_run();
+    memory_share memory{state_.memory, memory_use::response, [connection] { connection->abort(); }};
     // Only complete events count as progress: a stalled server may still send a byte now and then.
     time_point last_progress = state_.now();
     while (true) {
@@ -725,12 +742,14 @@
         }
         error failure;
         const auto part = co_await connection->read_some(limit, failure);
-        if (!part) {
-            last_error_ = failure.text();
-            if (!is_caller_gone_ || state_.now() - last_progress > min_wait_of_suspicious_leave) {
+        if (!part || memory.is_cut()) {
+            last_error_ = memory.is_cut() ? too_long_reason(memory) : failure.text();
+            const bool is_suspicious =
+                !is_caller_gone_ || state_.now() - last_progress > min_wait_of_suspicious_leave;
+            if (is_suspicious && !memory.is_cut()) {
                 record_broken_answer(listing);
             }
-            co_return co_await on_stream_broken(connection, failure.text(), is_resumable);
+            co_return co_await on_stream_broken(connection, last_error_, is_resumable);
         }
         const bool is_end = part->empty();
         received_bytes_ += part->size();
@@ -745,6 +764,9 @@
             if (!events) {
                 co_return co_await on_stream_broken(connection, framer_.last_reason(), is_resumable);
             }
+            if (!has_room(memory, framer_.incomplete_bytes())) {
+                co_return co_await on_stream_broken(connection, too_long_reason(memory), is_resumable);
+            }
             bytes = std::move(*events);
         }
         if (!bytes.empty()) {
--- a/modules/service/decision_log.cpp
+++ b/modules/service/decision_log.cpp
@@ -49,6 +49,8 @@
         return "request_duplicate";
     case event::request_cancelled:
         return "request_cancelled";
+    case event::message_given_up:
+        return "message_given_up";
     case event::adapter_load_ordered:
         return "adapter_load_ordered";
     case event::adapter_load_failed:
--- a/modules/service/include/lovageledge/service/metrics.hpp
+++ b/modules/service/include/lovageledge/service/metrics.hpp
@@ -22,6 +22,8 @@
 
     /** Adds to a counter. @param name with labels, as in requests_total{outcome="done"} */
     void count(const std::string& name, std::uint64_t amount = 1);
+    /** Sets the current value of a gauge. */
+    void set(const std::string& name, std::uint64_t value);
     /** Adds a sample to a distribution, which is exported in seconds. */
     void observe(const std::string& name, duration sample);
     /** @returns all metrics in the Prometheus text format */
--- a/modules/service/metrics.cpp
+++ b/modules/service/metrics.cpp
@@ -22,6 +22,11 @@
     counters_[name] += amount;
 }
 
+void metrics::set(const std::string& name, std::uint64_t value) {
+    const std::scoped_lock lock{mutex_};
+    counters_[name] = value;
+}
+
 void metrics::observe(const std::string& name, duration sample) {
     const double seconds = std::chrono::duration<double>(sample).count();
     const std::scoped_lock lock{mutex_};
--- a/modules/serving/include/lovageledge/serving/event_framer.hpp
+++ b/modules/serving/include/lovageledge/serving/event_framer.hpp
@@ -28,6 +28,8 @@
     std::optional<std::string> finish();
     /** @returns true if the run has ended at least one event and begun no other */
     bool is_between_events() const { return has_event_ && partial_.empty(); }
+    /** @returns the size of the event that has begun and is not complete */
+    std::size_t incomplete_bytes() const { return partial_.size(); }
     /** @returns the last event id in the complete events so far, or an empty string */
     const std::string& last_id() const { return last_id_; }
     /** @returns why append() or finish() last returned nothing */
--- a/modules/transport/forwarding_connection.cpp
+++ b/modules/transport/forwarding_connection.cpp
@@ -84,16 +84,18 @@
     return code == asio::error::would_block;
 }
 
-void forwarding_connection::send(std::string head, std::string body) {
+void forwarding_connection::send(std::string head, std::shared_ptr<const std::string> body) {
     request_head_ = std::move(head);
     request_body_ = std::move(body);
     is_writing_ = true;
     ++sent_requests_;
-    const std::array<asio::const_buffer, 2> buffers{asio::buffer(request_head_), asio::buffer(request_body_)};
+    const std::array<asio::const_buffer, 2> buffers{asio::buffer(request_head_),
+                                                    asio::buffer(*request_body_)};
     stream_.expires_never();
     asio::async_write(stream_, buffers,
                       [self = shared_from_this()](boost::system::error_code code, std::size_t) {
                           self->is_writing_ = false;
+                          self->request_body_.reset();
                           if (code) {
                               // Keeps the receiving side open: a response that arrived before the write
                               // failed can still be read.
--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t framing_bytes = std::size_t{16} * 1024;
 /** Pause after a failed accept. The usual cause, that no descriptors are left, lasts for a while. */
 constexpr auto accept_failure_pause = std::chrono::milliseconds{50};
+/** Retry-After in seconds for a request that there is no memory for. */
+constexpr const char* retry_after_no_memory = "1";
 
 std::string percent_decoded(std::string_view text) {
     std::string decoded;
@@ -37,12 +39,12 @@
 } // namespace
 
 std::string http_exchange::path() const {
-    const std::string_view target{request_.target().data(), request_.target().size()};
+    const std::string_view target{request_->target().data(), request_->target().size()};
     return std::string{target.substr(0, target.find('?'))};
 }
 
 std::string http_exchange::query_parameter(std::string_view name) const {
-    const std::string_view target{request_.target().data(), request_.target().size()};
+    const std::string_view target{request_->target().data(), request_->target().size()};
     const std::size_t query_start = target.find('?');
     if (query_start == std::string_view::npos) {
         return {};
@@ -60,8 +62,8 @@
 }
 
 std::string http_exchange::header(std::string_view name) const {
-    const auto field = request_.find(beast::string_view{name.data(), name.size()});
-    return field == request_.end() ? std::string{} : std::string{field->value()};
+    const auto field = request_->find(beast::string_view{name.data(), name.size()});
+    return field == request_->end() ? std::string{} : std::string{field->value()};
 }
 
 asio::awaitable<bool> http_exchange::handle_write_result(boost::system::error_code code) {
@@ -85,7 +87,7 @@
 }
 
 asio::awaitable<bool> http_exchange::write_response(http::response<http::string_body> response) {
-    response.keep_alive(request_.keep_alive());
+    response.keep_alive(request_->keep_alive());
     response.prepare_payload();
     stream_.expires_after(limits_.write_timeout);
     boost::system::error_code code;
@@ -109,7 +111,7 @@
 }
 
 asio::awaitable<bool> http_exchange::write_head(http::response<http::empty_body> response) {
-    response.keep_alive(request_.keep_alive());
+    response.keep_alive(request_->keep_alive());
     http::response_serializer<http::empty_body> serializer{response};
     stream_.expires_after(limits_.write_timeout);
     boost::system::error_code code;
@@ -373,13 +375,17 @@
 }
 
 asio::awaitable<boost::system::error_code>
-http_server::read_request(connection& caller, http::request_parser<http::string_body>& parser) {
+http_server::read_request(connection& caller, http::request_parser<http::string_body>& parser,
+                          memory_share& memory) {
     const time_point deadline = std::chrono::steady_clock::now() + limits_.request_timeout;
     caller.stream().expires_at(deadline);
     boost::system::error_code code;
     while (!code && !parser.is_done()) {
         co_await http::async_read_some(caller.stream(), caller.buffer(), parser,
                                        asio::redirect_error(asio::use_awaitable, code));
+        if (memory.is_cut() || !memory.resize(parser.get().body().size())) {
+            co_return asio::error::no_memory;
+        }
         if (!code && !parser.is_done() && has_passed(deadline)) {
             code = beast::error::timeout;
         }
@@ -387,17 +393,24 @@
     co_return code;
 }
 
-asio::awaitable<void> http_server::refuse_unread(connection& caller, boost::system::error_code code) {
-    const unsigned status = code == http::error::header_limit   ? 431
-                            : code == http::error::body_limit   ? 413
-                            : code == beast::error::timeout     ? 408
-                                                                : 400;
+asio::awaitable<void> http_server::refuse_unread(connection& caller, boost::system::error_code code,
+                                                 bool has_no_room) {
+    const bool is_head_too_large = code == http::error::header_limit;
+    const unsigned status = has_no_room                       ? 503
+                            : is_head_too_large               ? 431
+                            : code == http::error::body_limit ? 413
+                            : code == beast::error::timeout   ? 408
+                                                              : 400;
     http::request<http::string_body> empty_request;
     empty_request.keep_alive(false);
     http_exchange exchange{caller.stream(), std::move(empty_request), limits_};
-    nlohmann::json body{
-        {"error", {{"step", "http.read"}, {"reason", code.message()}, {"outcome", "not_run"}}}};
-    co_await exchange.respond(status, body.dump());
+    const std::string reason = has_no_room ? "no memory for the body" : code.message();
+    nlohmann::json body{{"error", {{"step", "http.read"}, {"reason", reason}, {"outcome", "not_run"}}}};
+    std::vector<http_header> headers;
+    if (has_no_room) {
+        headers.push_back({"Retry-After", retry_after_no_memory});
+    }
+    co_await exchange.respond(status, body.dump(), "application/json", std::move(headers));
     co_await discard_input(caller.stream());
 }
 
@@ -411,19 +424,21 @@
             co_return false;
         }
     }
+    memory_share memory{limits_.memory, memory_use::request, [&] { caller.stream().cancel(); }};
     std::optional<http::request_parser<http::string_body>> parser{std::in_place};
     parser->eager(true);
     parser->header_limit(limits_.header_bytes);
     parser->body_limit(limits_.body_bytes);
-    const boost::system::error_code code = co_await read_request(caller, *parser);
+    const boost::system::error_code code = co_await read_request(caller, *parser, memory);
     if (code == http::error::end_of_stream || !caller.stream().socket().is_open()) {
         co_return false;
     }
     if (code) {
         parser.reset(); // Frees the body while the caller is still sending.
-        co_await refuse_unread(caller, code);
+        co_await refuse_unread(caller, code, memory.is_cut());
         co_return false;
     }
+    memory.set_complete();
     http_exchange exchange{caller.stream(), parser->release(), limits_};
     co_await on_request_(exchange);
     if (!exchange.has_responded() && !exchange.is_aborted()) {
--- a/modules/transport/include/lovageledge/transport/forwarding_connection.hpp
+++ b/modules/transport/include/lovageledge/transport/forwarding_connection.hpp
@@ -43,8 +43,9 @@
     bool is_reusable(time_point now);
 
     /** Starts to write a request and returns at once.
-        @param head request line and headers, including the empty line */
-    void send(std::string head, std::string body);
+        @param head request line and headers, including the empty line
+        @param body not nullptr; must not change any more */
+    void send(std::string head, std::shared_ptr<const std::string> body);
     /** Reads the status line and headers of the next response. @returns nothing and sets why on failure, also
         if the deadline has passed while the server keeps sending */
     asio::awaitable<std::optional<response_head>> read_head(time_point deadline, error& why);
@@ -84,7 +85,8 @@
     std::array<char, read_buffer_bytes> read_buffer_{};
     std::string address_;
     std::string request_head_;
-    std::string request_body_;
+    /** Set while the request is being written. */
+    std::shared_ptr<const std::string> request_body_;
     time_point idle_since_{};
     time_point opened_at_{};
     duration idle_limit_{};
--- a/modules/transport/include/lovageledge/transport/http_server.hpp
+++ b/modules/transport/include/lovageledge/transport/http_server.hpp
@@ -28,6 +28,9 @@
     duration idle_timeout = std::chrono::seconds{75};
     /** Time in which a caller must accept each part of a response. */
     duration write_timeout = std::chrono::seconds{30};
+    /** The memory for request bodies, or nullptr if only their number and size limit it. Precondition: the
+        server's context runs on one thread only. */
+    std::shared_ptr<memory_budget> memory;
 };
 
 /** A received request and the functions to respond to it. Use it on its connection's executor only. */
@@ -35,25 +38,28 @@
 public:
     http_exchange(beast::tcp_stream& stream, http::request<http::string_body> request,
                   const http_limits& limits)
-        : stream_{stream}, request_{std::move(request)}, limits_{limits} {}
+        : stream_{stream}, request_{std::make_shared<http::request<http::string_body>>(std::move(request))},
+          limits_{limits} {}
     http_exchange(const http_exchange&) = delete;
     http_exchange& operator=(const http_exchange&) = delete;
     ~http_exchange() = default;
 
     /** Closes the connection after this exchange and announces it in the response headers. Precondition: no
         part of the response was sent. */
-    void close_after_response() { request_.keep_alive(false); }
+    void close_after_response() { request_->keep_alive(false); }
 
-    http::verb method() const { return request_.method(); }
+    http::verb method() const { return request_->method(); }
     /** @returns the path without the query */
     std::string path() const;
     /** @returns the decoded value of a query parameter, or an empty string */
     std::string query_parameter(std::string_view name) const;
     /** @returns the value of a header, or an empty string. @param name case-insensitive */
     std::string header(std::string_view name) const;
-    const std::string& body() const { return request_.body(); }
+    const std::string& body() const { return request_->body(); }
+    /** @returns the body, which may be used for longer than the exchange exists */
+    std::shared_ptr<const std::string> shared_body() const { return {request_, &request_->body()}; }
     /** @returns the complete request as received */
-    const http::request<http::string_body>& request() const { return request_; }
+    const http::request<http::string_body>& request() const { return *request_; }
 
     /** Sends a complete response. Precondition: no part of a response was sent. @returns false if the caller
         has disconnected */
@@ -92,7 +98,7 @@
     bool has_responded() const { return has_responded_; }
     bool is_aborted() const { return is_aborted_; }
     /** @returns true if the connection can serve another request after this one */
-    bool keeps_alive() const { return !is_aborted_ && is_body_complete_ && request_.keep_alive(); }
+    bool keeps_alive() const { return !is_aborted_ && is_body_complete_ && request_->keep_alive(); }
 
 private:
     asio::awaitable<bool> handle_write_result(boost::system::error_code code);
@@ -100,7 +106,7 @@
     asio::awaitable<bool> write_head(http::response<http::empty_body> response);
 
     beast::tcp_stream& stream_;
-    http::request<http::string_body> request_;
+    std::shared_ptr<http::request<http::string_body>> request_;
     const http_limits& limits_;
     std::shared_ptr<std::function<void()>> close_callback_;
     /** Bytes that are still to be sent of a body of known length. */
@@ -182,10 +188,10 @@
     asio::awaitable<void> serve_connection(asio::ip::tcp::socket socket);
     asio::awaitable<bool> serve_request(connection& caller);
     asio::awaitable<bool> wait_for_request(connection& caller);
-    /** Reads a request. */
+    /** Reads a request. @param memory is given up if there is no room for the body */
     asio::awaitable<boost::system::error_code>
-    read_request(connection& caller, http::request_parser<http::string_body>& parser);
-    asio::awaitable<void> refuse_unread(connection& caller, boost::system::error_code code);
+    read_request(connection& caller, http::request_parser<http::string_body>& parser, memory_share& memory);
+    asio::awaitable<void> refuse_unread(connection& caller, boost::system::error_code code, bool has_no_room);
     static asio::awaitable<void> discard_input(beast::tcp_stream& stream);
     /** Closes the connection that has waited longest for a request. @returns false if none waits */
     bool close_longest_idle();
--- a/programs/gateway/main.cpp
+++ b/programs/gateway/main.cpp
@@ -151,12 +151,18 @@
     if (path.empty()) {
         option->required();
     }
+    std::optional<std::uint32_t> memory_mb;
+    app.add_option("--memory-mb", memory_mb, "memory of this process in MB, instead of the one in the settings")
+        ->envname("LEDGE_MEMORY_MB")
+        ->check(CLI::Range(lovageledge::gateway_settings::min_memory_mb,
+                           lovageledge::gateway_settings::max_memory_mb));
     app.add_flag("--check", is_check_only, "check the settings and exit");
     CLI11_PARSE(app, argc, argv);
     auto settings = read_settings(path);
     if (!settings) {
         return exit_bad_settings;
     }
+    settings->memory_mb = memory_mb.value_or(settings->memory_mb);
     if (is_check_only) {
         std::printf("%s: settings are valid\n", path.c_str());
         return 0;
--- a/tests/gateway/http_server_test.cpp
+++ b/tests/gateway/http_server_test.cpp
@@ -18,19 +18,23 @@
     CPPUNIT_TEST_SUITE(http_server_test);
     CPPUNIT_TEST(request_parts_without_end_are_not_kept);
     CPPUNIT_TEST(request_that_trickles_past_its_time_limit_ends);
+    CPPUNIT_TEST(withheld_bodies_give_way_to_sound_requests);
     CPPUNIT_TEST(silent_connections_give_way_to_callers_that_ask);
     CPPUNIT_TEST_SUITE_END();
 
     asio::io_context context_;
     asio::io_context caller_context_;
     std::unique_ptr<http_server> server_;
+    std::shared_ptr<memory_budget> memory_;
     std::thread thread_;
 
     static asio::awaitable<void> answer(http_exchange& exchange) {
         co_await exchange.respond(200, std::to_string(exchange.body().size()), "text/plain");
     }
 
-    void start(const http_limits& limits) {
+    void start(http_limits limits, std::size_t message_memory = std::size_t{64} * 1024 * 1024) {
+        memory_ = std::make_shared<memory_budget>(message_memory);
+        limits.memory = memory_;
         server_ = std::make_unique<http_server>(context_, limits, answer);
         error why;
         CPPUNIT_ASSERT_MESSAGE(why.text(), server_->listen("127.0.0.1:0", why));
@@ -113,6 +117,32 @@
                        limits.request_timeout + discard_time + milliseconds{500});
     }
 
+    // 80 callers that withheld the end of a body of 4 MiB took the memory of the process together.
+    void withheld_bodies_give_way_to_sound_requests() {
+        constexpr std::size_t mib = std::size_t{1024} * 1024;
+        constexpr int callers = 40;
+        http_limits limits;
+        limits.body_bytes = 4 * mib;
+        start(limits, 16 * mib);
+        const std::string withheld = request(std::string(4 * mib - 300, 'x'));
+        const std::string announced =
+            fmt::format("POST / HTTP/1.1\r\nHost: test\r\nContent-Length: {}\r\n\r\n", 4 * mib);
+        std::vector<blocking_connection> open;
+        open.reserve(callers);
+        for (int i = 0; i < callers; ++i) {
+            open.push_back(connect());
+            open.back().write(announced + withheld.substr(withheld.find("\r\n\r\n") + 4));
+            CPPUNIT_ASSERT(memory_->held() <= memory_->capacity());
+        }
+        blocking_connection sound = connect();
+        sound.write(request(std::string(3 * mib, 's')));
+        const std::string answer = sound.read_all();
+        CPPUNIT_ASSERT_MESSAGE(answer, has_status(answer, 200));
+        const std::string refusal = open.front().read_message();
+        CPPUNIT_ASSERT_MESSAGE(refusal, has_status(refusal, 503));
+        CPPUNIT_ASSERT_MESSAGE(refusal, refusal.find("Retry-After: ") != std::string::npos);
+    }
+
     // Callers that connected and said nothing shut out all others for as long as they stayed.
     void silent_connections_give_way_to_callers_that_ask() {
         http_limits limits;
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -83,6 +83,7 @@
     CPPUNIT_TEST(stream_that_ends_with_its_connection_is_cut_unless_its_events_are_complete);
     CPPUNIT_TEST(server_that_holds_more_than_the_required_version_runs_the_request);
     CPPUNIT_TEST(response_parts_without_end_are_not_kept);
+    CPPUNIT_TEST(responses_without_end_share_one_budget_and_sound_ones_go_on);
     CPPUNIT_TEST(deadline_holds_while_the_server_keeps_sending);
     CPPUNIT_TEST(refusal_with_a_body_without_end_does_not_hold_the_request);
     CPPUNIT_TEST_SUITE_END();
@@ -176,8 +177,9 @@
     asio::io_context caller_context_;
     std::unique_ptr<gateway_under_test> gateway_;
 
-    void start(const std::vector<const scripted_server*>& servers) {
-        gateway_ = std::make_unique<gateway_under_test>(settings());
+    void start(const std::vector<const scripted_server*>& servers,
+               const gateway_settings& given_settings = settings()) {
+        gateway_ = std::make_unique<gateway_under_test>(given_settings);
         gateway_->configure();
         for (std::size_t i = 0; i < servers.size(); ++i) {
             gateway_->add_server(*servers[i], "server-" + std::to_string(i + 1));
@@ -314,6 +316,35 @@
         }
     }
 
+    // 40 answers without end, each of which was within its own limit, took the memory of the process
+    // together.
+    void responses_without_end_share_one_budget_and_sound_ones_go_on() {
+        const std::string head =
+            "HTTP/1.1 200 OK\r\n" + run_headers("ID") + "Transfer-Encoding: chunked\r\n\r\n";
+        std::atomic<std::size_t> sent{0};
+        const scripted_server faulty{flooding(head, chunk(std::string(4096, 'x')), sent)};
+        gateway_settings small = settings();
+        small.memory_mb = 40;
+        start({&faulty}, small);
+        std::vector<std::thread> callers(12);
+        std::atomic<int> answered{0};
+        for (std::size_t i = 0; i < callers.size(); ++i) {
+            callers[i] = std::thread([&, i] {
+                asio::io_context context;
+                blocking_connection caller = connect_to(context, gateway_->callers.port());
+                caller.write(make_request(plain_path, std::to_string(i), 5000, false));
+                answered += has_status(caller.read_all(), 502) ? 1 : 0;
+            });
+        }
+        for (std::thread& caller : callers) {
+            caller.join();
+        }
+        CPPUNIT_ASSERT_EQUAL(12, answered.load());
+        const std::string metrics = gateway_->state.counters.text();
+        CPPUNIT_ASSERT_MESSAGE(metrics, metrics.find("messages_given_up_total") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, gateway_->state.memory->held());
+    }
+
     // A stream's timer ends only reads that have to wait, so that a request could stay open without an
     // answer.
     void deadline_holds_while_the_server_keeps_sending() {
