A planned stop ends within its limit while the store is silent

Callers saw: requests cut by the kill at the end of the grace. Cause: the last write of a stop, its read-back and the writes before it had limits of their own, and the stop waited for them beyond its own limit. Conclusion: each step of a stop needs the deadline of the whole.

--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -22,6 +22,8 @@
 constexpr auto last_answers_time = milliseconds{200};
 /** How long requests are refused while the configuration is known and the gateways' records are not. */
 constexpr auto max_wait_for_records = milliseconds{2000};
+/** Part of that time in which the release of the order domain may still be written. */
+constexpr auto last_write_time = milliseconds{200};
 constexpr auto stop_check_interval = milliseconds{50};
 /** Bounds the memory for entries that can't be used, each of which is logged once. */
 constexpr std::size_t max_remembered_rejections = 1000;
@@ -192,6 +194,14 @@
     }
 }
 
+asio::awaitable<void> gateway::finish_coordination(time_point limit) {
+    // The store may not answer. The write then ends with the process.
+    const auto is_done = std::make_shared<bool>(false);
+    asio::co_spawn(context_, coordinator_.finish_stop(),
+                   [is_done](const std::exception_ptr&) { *is_done = true; });
+    co_await wait_until(limit, [&] { return *is_done; });
+}
+
 asio::awaitable<void> gateway::stop_when_idle(std::function<void()> on_stopped) {
     const time_point stop_began = state_.now();
     const time_point limit = stop_began + state_.settings.stop_limit - exit_reserve;
@@ -205,7 +215,7 @@
         handler->end_for_stop();
     }
     co_await wait_until(limit, is_idle);
-    co_await coordinator_.finish_stop();
+    co_await finish_coordination(limit + last_write_time);
     // Requests may have arrived while the coordinator wrote to the store.
     co_await wait_until(limit, is_idle);
     state_.log.write(
--- a/modules/gateway/include/lovageledge/gateway/gateway.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway.hpp
@@ -68,6 +68,8 @@
     asio::awaitable<void> serve(http_exchange& exchange);
     asio::awaitable<void> serve_readiness(http_exchange& exchange);
     asio::awaitable<void> serve_metrics(http_exchange& exchange);
+    /** Ends the coordination with other gateways, or gives it up at the limit. */
+    asio::awaitable<void> finish_coordination(time_point limit);
     asio::awaitable<void> wait_until(time_point limit, std::function<bool()> is_done);
     asio::awaitable<void> stop_when_idle(std::function<void()> on_stopped);
     void drop_server(const server_name& name);
--- a/tests/gateway/gateway_stop_test.cpp
+++ b/tests/gateway/gateway_stop_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(request_that_arrives_during_the_last_write_is_answered);
     CPPUNIT_TEST(request_that_does_not_end_in_time_gets_a_response_before_the_exit);
     CPPUNIT_TEST(late_request_that_may_outlast_the_instance_is_refused_as_not_run);
+    CPPUNIT_TEST(stop_ends_within_its_limit_while_the_store_is_silent);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint16_t caller_port = 20921;
@@ -27,6 +28,7 @@
     asio::io_context caller_context_;
     std::atomic<bool> is_last_write_under_way_{false};
     std::atomic<bool> is_stopping_{false};
+    std::atomic<bool> is_store_silent_{false};
     std::uint64_t revision_ = 0;
 
     static gateway_settings settings() {
@@ -45,6 +47,10 @@
         platform_port result;
         result.write_record = [this](std::string name, std::string text,
                                      std::optional<std::uint64_t>) -> asio::awaitable<write_result> {
+            if (is_store_silent_) {
+                asio::steady_timer never{context_, time_point::max()};
+                co_await never.async_wait(asio::use_awaitable);
+            }
             if (is_stopping_) {
                 is_last_write_under_way_ = true;
                 asio::steady_timer timer{context_, milliseconds{300}};
@@ -140,6 +146,34 @@
         CPPUNIT_ASSERT_EQUAL(0, requests.load());
     }
 
+    // The platform kills a process that has not ended at its limit, with the requests that it still serves.
+    void stop_ends_within_its_limit_while_the_store_is_silent() {
+        gateway_settings limited = settings();
+        limited.stop_limit = std::chrono::seconds{5};
+        gateway target{context_, limited, platform::make_wire_codec(), port()};
+        error why;
+        CPPUNIT_ASSERT_MESSAGE(why.text(), target.start(why));
+        target.on_configuration(configuration());
+        target.on_server_list({});
+        target.on_records_complete();
+        std::thread gateway_thread{[this] { context_.run(); }};
+        std::this_thread::sleep_for(milliseconds{2500}); // Until the order domain is held.
+        is_store_silent_ = true;
+        const auto began = std::chrono::steady_clock::now();
+        asio::post(context_, [&] { target.stop([this] { context_.stop(); }); });
+        // A failing test must not wait for ever.
+        std::thread watchdog{[&] {
+            while (std::chrono::steady_clock::now() - began < 2 * limited.stop_limit && !context_.stopped()) {
+                std::this_thread::sleep_for(milliseconds{10});
+            }
+            context_.stop();
+        }};
+        gateway_thread.join();
+        const auto took = std::chrono::steady_clock::now() - began;
+        watchdog.join();
+        CPPUNIT_ASSERT(took <= limited.stop_limit);
+    }
+
     // The load balancer sends callers to all instances of a data centre if most of them are not ready.
     void request_that_arrives_during_the_last_write_is_answered() {
         scripted_server server{[](blocking_connection& connection, int) {
