A start waits for addresses that the former process still holds

Callers saw: nobody served, since the process ended at once with status 3 (FAULT: the system didn't start). Cause: an address was tried once, also one that is free a moment later; the metrics address, which is fixed, could prevent a start as well. Change: an address in use is tried again for as long as a stop may take; metrics follow when their address is free; the last log line says why a process ends. Conclusion: whether the users saw this is not known; their logs do not exist.

--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -1,6 +1,9 @@
 #include "lovageledge/gateway/gateway.hpp"
 
 #include <spdlog/fmt/fmt.h>
+#include <spdlog/spdlog.h>
+#include <system_error>
+#include <thread>
 #include <utility>
 
 namespace lovageledge {
@@ -25,6 +28,8 @@
 /** Part of that time in which the release of the order domain may still be written. */
 constexpr auto last_write_time = milliseconds{200};
 constexpr auto stop_check_interval = milliseconds{50};
+constexpr auto listen_retry_interval = milliseconds{100};
+constexpr auto metrics_retry_interval = milliseconds{1000};
 /** Bounds the memory for entries that can't be used, each of which is logged once. */
 constexpr std::size_t max_remembered_rejections = 1000;
 /** Limits on requests and connections at the readiness and metrics addresses. */
@@ -55,24 +60,42 @@
 gateway::gateway(asio::io_context& context, gateway_settings settings, wire_codec codec,
                  platform_port platform)
     : context_{context}, state_{std::move(settings), std::move(codec), std::move(platform)},
-      coordinator_{context, state_},
-      caller_server_{context, to_http_limits(caller_limits{}, state_),
-                     [this](http_exchange& exchange) { return serve(exchange); }},
+      coordinator_{context, state_}, caller_server_{context, to_http_limits(caller_limits{}, state_),
+                                                    [this](http_exchange& exchange) {
+                                                        return serve(exchange);
+                                                    }},
       readiness_server_{context, status_limits(),
                         [this](http_exchange& exchange) { return serve_readiness(exchange); }},
       metrics_server_{context, status_limits(),
                       [this](http_exchange& exchange) { return serve_metrics(exchange); }} {}
 
+bool gateway::listen(const std::function<bool(error&)>& try_listen, error& failure) const {
+    const time_point limit = state_.now() + state_.settings.stop_limit;
+    const std::string in_use = std::make_error_code(std::errc::address_in_use).message();
+    bool has_logged = false;
+    while (!try_listen(failure)) {
+        if (failure.reason != in_use || state_.now() >= limit) {
+            return false;
+        }
+        if (!std::exchange(has_logged, true)) {
+            spdlog::warn("{}; tried again until the former process has stopped", failure.text());
+        }
+        std::this_thread::sleep_for(listen_retry_interval);
+    }
+    return true;
+}
+
 bool gateway::start(error& failure) {
     const auto& settings = state_.settings;
-    const bool has_metrics = !settings.metrics_address.empty();
-    const bool is_listening = coordinator_.start(failure) &&
-                              caller_server_.listen(settings.caller_address, failure) &&
-                              readiness_server_.listen(settings.readiness_address, failure) &&
-                              (!has_metrics || metrics_server_.listen(settings.metrics_address, failure));
+    const bool is_listening =
+        listen([this](error& why) { return coordinator_.start(why); }, failure) &&
+        listen([&](error& why) { return caller_server_.listen(settings.caller_address, why); }, failure) &&
+        listen([&](error& why) { return readiness_server_.listen(settings.readiness_address, why); },
+               failure);
     if (!is_listening) {
         return false;
     }
+    start_metrics();
     state_.log.write(event::instance_started,
                      fmt::format("instance={} start={} region={} data_centre={} callers={} peers={}",
                                  settings.name.text(), settings.start.text(), settings.region.text(),
@@ -81,6 +104,27 @@
     return true;
 }
 
+void gateway::start_metrics() {
+    const std::string& address = state_.settings.metrics_address;
+    error why;
+    if (address.empty() || metrics_server_.listen(address, why)) {
+        return;
+    }
+    // Requests are served without metrics, rather than not at all.
+    spdlog::error("{}; no metrics are served until the address is free", why.text());
+    asio::co_spawn(context_, retry_metrics(), asio::detached);
+}
+
+asio::awaitable<void> gateway::retry_metrics() {
+    asio::steady_timer timer{context_};
+    error why;
+    do {
+        timer.expires_after(metrics_retry_interval);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    } while (!metrics_server_.listen(state_.settings.metrics_address, why));
+}
+
 bool gateway::is_ready() const {
     return state_.may_serve() && has_server_list_ && !state_.is_stopping;
 }
--- a/modules/gateway/include/lovageledge/gateway/gateway.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway.hpp
@@ -29,7 +29,9 @@
     gateway& operator=(const gateway&) = delete;
     ~gateway() = default;
 
-    /** Listens on all configured addresses. @returns false and sets failure if one can't be bound */
+    /** Listens on all configured addresses. One that is in use is tried again for as long as a former process
+        may take to stop; metrics are not waited for. Blocks meanwhile.
+        @returns false and sets failure if one can't be bound */
     bool start(error& failure);
     /** Begins a graceful shutdown: new requests are still served for a while, and those in progress may
         finish within the stop limit. A second call does nothing.
@@ -68,6 +70,10 @@
     asio::awaitable<void> serve(http_exchange& exchange);
     asio::awaitable<void> serve_readiness(http_exchange& exchange);
     asio::awaitable<void> serve_metrics(http_exchange& exchange);
+    /** Calls a function that listens on an address, repeatedly while the address is in use. */
+    bool listen(const std::function<bool(error&)>& try_listen, error& failure) const;
+    void start_metrics();
+    asio::awaitable<void> retry_metrics();
     /** Ends the coordination with other gateways, or gives it up at the limit. */
     asio::awaitable<void> finish_coordination(time_point limit);
     asio::awaitable<void> wait_until(time_point limit, std::function<bool()> is_done);
--- a/programs/gateway/main.cpp
+++ b/programs/gateway/main.cpp
@@ -115,7 +115,8 @@
                                  session.port()};
     lovageledge::error failure;
     if (!gateway.start(failure)) {
-        std::fprintf(stderr, "%s\n", failure.text().c_str());
+        spdlog::critical("{}; the process ends", failure.text());
+        spdlog::shutdown();
         return exit_no_address;
     }
     session.start(gateway);
--- a/tests/gateway/gateway_stop_test.cpp
+++ b/tests/gateway/gateway_stop_test.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(request_that_does_not_end_in_time_gets_a_response_before_the_exit);
     CPPUNIT_TEST(late_request_that_may_outlast_the_instance_is_refused_as_not_run);
     CPPUNIT_TEST(stop_ends_within_its_limit_while_the_store_is_silent);
+    CPPUNIT_TEST(start_waits_for_the_addresses_of_a_process_that_still_stops);
+    CPPUNIT_TEST(metrics_address_in_use_does_not_prevent_a_start);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint16_t caller_port = 20921;
@@ -174,6 +176,36 @@
         CPPUNIT_ASSERT(took <= limited.stop_limit);
     }
 
+    // A process whose predecessor still held an address ended at once.
+    void start_waits_for_the_addresses_of_a_process_that_still_stops() {
+        for (const std::string& address :
+             {settings().caller_address, settings().readiness_address, settings().peer_address}) {
+            const auto endpoint = parse_endpoint(address);
+            auto former = std::make_unique<asio::ip::tcp::acceptor>(caller_context_, *endpoint);
+            std::thread end{[&] {
+                std::this_thread::sleep_for(milliseconds{700});
+                former.reset();
+            }};
+            asio::io_context context;
+            gateway target{context, settings(), platform::make_wire_codec(), port()};
+            error why;
+            const bool has_started = target.start(why);
+            end.join();
+            CPPUNIT_ASSERT_MESSAGE(why.text(), has_started);
+        }
+    }
+
+    void metrics_address_in_use_does_not_prevent_a_start() {
+        const auto endpoint = parse_endpoint("127.0.0.1:20924");
+        const asio::ip::tcp::acceptor other{caller_context_, *endpoint};
+        gateway_settings with_metrics = settings();
+        with_metrics.metrics_address = "127.0.0.1:20924";
+        asio::io_context context;
+        gateway target{context, with_metrics, platform::make_wire_codec(), port()};
+        error why;
+        CPPUNIT_ASSERT_MESSAGE(why.text(), target.start(why));
+    }
+
     // The load balancer sends callers to all instances of a data centre if most of them are not ready.
     void request_that_arrives_during_the_last_write_is_answered() {
         scripted_server server{[](blocking_connection& connection, int) {
--- a/tests/gateway/http_server_test.cpp
+++ b/tests/gateway/http_server_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(request_that_trickles_past_its_time_limit_ends);
     CPPUNIT_TEST(withheld_bodies_give_way_to_sound_requests);
     CPPUNIT_TEST(silent_connections_give_way_to_callers_that_ask);
+    CPPUNIT_TEST(address_can_be_tried_again_after_it_was_in_use);
     CPPUNIT_TEST_SUITE_END();
 
     asio::io_context context_;
@@ -161,6 +162,20 @@
         }
         CPPUNIT_ASSERT(server_->connections() <= limits.connections + 1);
     }
+
+    // A process that starts while the one before it still stops must get the address as soon as it is free.
+    void address_can_be_tried_again_after_it_was_in_use() {
+        start(http_limits{});
+        http_server next{context_, http_limits{}, answer};
+        error why;
+        const std::string address = fmt::format("127.0.0.1:{}", server_->port());
+        CPPUNIT_ASSERT(!next.listen(address, why));
+        server_->stop_accepting();
+        std::this_thread::sleep_for(milliseconds{100});
+        CPPUNIT_ASSERT_MESSAGE(why.text(), next.listen(address, why));
+        context_.stop();
+        thread_.join();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(http_server_test);
