Exceptions of handlers and tasks are logged and end nothing else

Cause: an exception out of a handler ended the process without a line of ours; one out of a coroutine that nobody awaits was swallowed. Change: log_exception() ends each such coroutine, the main loop logs and goes on, a request that throws resets its own connection, and the peer socket's thread goes on after a message that it can't take. Conclusion: what ended a task now stands in the log.

--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -112,7 +112,7 @@
     }
     // Requests are served without metrics, rather than not at all.
     spdlog::error("{}; no metrics are served until the address is free", why.text());
-    asio::co_spawn(context_, retry_metrics(), asio::detached);
+    asio::co_spawn(context_, retry_metrics(), log_exception("gateway.metrics"));
 }
 
 asio::awaitable<void> gateway::retry_metrics() {
@@ -135,7 +135,12 @@
     }
     const auto handler = std::make_shared<request_handler>(state_, coordinator_, pool_, exchange);
     handlers_.insert(handler);
-    co_await handler->run();
+    try {
+        co_await handler->run();
+    } catch (const std::exception& exception) {
+        spdlog::error("gateway.request: ended by an exception: {}", exception.what());
+        exchange.abort();
+    }
     handlers_.erase(handler);
 }
 
@@ -226,7 +231,7 @@
     state_.answer_until = state_.now() + state_.settings.stop_limit - exit_reserve - last_answers_time;
     state_.log.write(event::instance_stopping, fmt::format("instance={}", state_.settings.name.text()));
     coordinator_.begin_stop();
-    asio::co_spawn(context_, stop_when_idle(std::move(on_stopped)), asio::detached);
+    asio::co_spawn(context_, stop_when_idle(std::move(on_stopped)), log_exception("gateway.stop"));
 }
 
 asio::awaitable<void> gateway::wait_until(time_point limit, std::function<bool()> is_done) {
@@ -242,7 +247,10 @@
     // The store may not answer. The write then ends with the process.
     const auto is_done = std::make_shared<bool>(false);
     asio::co_spawn(context_, coordinator_.finish_stop(),
-                   [is_done](const std::exception_ptr&) { *is_done = true; });
+                   [is_done, log = log_exception("gateway.stop")](const std::exception_ptr& thrown) {
+                       *is_done = true;
+                       log(thrown);
+                   });
     co_await wait_until(limit, [&] { return *is_done; });
 }
 
--- a/modules/gateway/order_coordinator.cpp
+++ b/modules/gateway/order_coordinator.cpp
@@ -87,8 +87,8 @@
     if (!peers_.listen(failure)) {
         return false;
     }
-    asio::co_spawn(context_, heartbeat_loop(), asio::detached);
-    asio::co_spawn(context_, planning_loop(), asio::detached);
+    asio::co_spawn(context_, heartbeat_loop(), log_exception("gateway.orders"));
+    asio::co_spawn(context_, planning_loop(), log_exception("gateway.orders"));
     return true;
 }
 
@@ -100,7 +100,7 @@
     message.mutable_gateway_state()->set_stopping(true);
     peers_.send_to_data_centre(message);
     if (holds_domain() && succession_.has_other_candidate()) {
-        asio::co_spawn(context_, release_domain(order_drain_limit), asio::detached);
+        asio::co_spawn(context_, release_domain(order_drain_limit), log_exception("gateway.orders"));
     }
 }
 
@@ -133,7 +133,7 @@
 
 void order_coordinator::on_records_complete() {
     state_.has_read_records = true;
-    asio::co_spawn(context_, register_self(), asio::detached);
+    asio::co_spawn(context_, register_self(), log_exception("gateway.orders"));
 }
 
 asio::awaitable<void> order_coordinator::register_self() {
@@ -217,7 +217,7 @@
     const protocol::CrashRecord refused = exchange_.refused_requests();
     if (!load_exchange::is_same_state(refused, stored_crashes_)) {
         is_writing_crashes_ = true;
-        asio::co_spawn(context_, write_crash_record(refused), asio::detached);
+        asio::co_spawn(context_, write_crash_record(refused), log_exception("gateway.orders"));
     }
 }
 
@@ -337,11 +337,11 @@
     const auto claim = is_writing_domain_ ? std::nullopt : succession_.next_claim(now);
     if (claim) {
         is_writing_domain_ = true;
-        asio::co_spawn(context_, write_domain_record(*claim), asio::detached);
+        asio::co_spawn(context_, write_domain_record(*claim), log_exception("gateway.orders"));
     }
     if (!is_reading_domain_ && succession_.should_read_record(now)) {
         is_reading_domain_ = true;
-        asio::co_spawn(context_, read_domain_record(), asio::detached);
+        asio::co_spawn(context_, read_domain_record(), log_exception("gateway.orders"));
     }
 }
 
@@ -716,7 +716,7 @@
     for (const server_name& name :
          planner_.next_report_requests(state_.directory, *state_.routes, is_managed, state_.now())) {
         asio::co_spawn(context_, read_server_weights(name, state_.directory.find(name)->listing.address),
-                       asio::detached);
+                       log_exception("gateway.orders"));
     }
     if (!may_order()) {
         return;
@@ -730,7 +730,8 @@
         const order_authority authority{state_.settings.name, fence, [this, fence] {
                                             return succession_.record().fence == fence && may_order();
                                         }};
-        asio::co_spawn(context_, dispatch_order(std::move(order), address, authority), asio::detached);
+        asio::co_spawn(context_, dispatch_order(std::move(order), address, authority),
+                       log_exception("gateway.orders"));
     }
 }
 
--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -1,5 +1,7 @@
 #include "lovageledge/transport/http_server.hpp"
 
+#include "lovageledge/transport/log_exception.hpp"
+
 #include <algorithm>
 #include <array>
 #include <cassert>
@@ -247,7 +249,7 @@
         acceptor_.close(code);
         return false;
     }
-    asio::co_spawn(acceptor_.get_executor(), accept_loop(), asio::detached);
+    asio::co_spawn(acceptor_.get_executor(), accept_loop(), log_exception("http.accept"));
     return true;
 }
 
@@ -307,7 +309,7 @@
         }
         socket.set_option(asio::ip::tcp::no_delay{true}, code);
         const auto executor = socket.get_executor();
-        asio::co_spawn(executor, serve_connection(std::move(socket)), asio::detached);
+        asio::co_spawn(executor, serve_connection(std::move(socket)), log_exception("http.serve"));
     }
 }
 
--- a/modules/transport/include/lovageledge/transport/transport.hpp
+++ b/modules/transport/include/lovageledge/transport/transport.hpp
@@ -6,4 +6,5 @@
 #include "lovageledge/transport/forwarding_connection.hpp"
 #include "lovageledge/transport/http_connection.hpp"
 #include "lovageledge/transport/http_server.hpp"
+#include "lovageledge/transport/log_exception.hpp"
 #include "lovageledge/transport/peer_socket.hpp"
--- a/modules/transport/peer_socket.cpp
+++ b/modules/transport/peer_socket.cpp
@@ -81,6 +81,8 @@
                 return;
             }
             // A signal handler interrupted the call.
+        } catch (const std::exception& exception) {
+            on_error({"peer.receive", "", exception.what()});
         }
     }
 }
--- a/programs/gateway/main.cpp
+++ b/programs/gateway/main.cpp
@@ -103,6 +103,18 @@
     lovageledge::gateway& gateway_;
 };
 
+/** Runs the handlers until the context is stopped. One that throws ends alone: the requests that others serve
+    must not end with it. */
+void run_until_stopped(boost::asio::io_context& context) {
+    while (!context.stopped()) {
+        try {
+            context.run();
+        } catch (const std::exception& exception) {
+            spdlog::error("gateway: a handler ended by an exception: {}", exception.what());
+        }
+    }
+}
+
 int run(lovageledge::gateway_settings settings, const std::string& path) {
     start_logging(settings.log_level);
     boost::asio::io_context context{1};
@@ -134,7 +146,7 @@
         signals.async_wait(on_signal);
     };
     signals.async_wait(on_signal);
-    context.run();
+    run_until_stopped(context);
     spdlog::shutdown();
     // Skips destructors: suspended coroutines must not access objects that are already destroyed. The system
     // closes the connections.
@@ -153,7 +165,8 @@
         option->required();
     }
     std::optional<std::uint32_t> memory_mb;
-    app.add_option("--memory-mb", memory_mb, "memory of this process in MB, instead of the one in the settings")
+    app.add_option("--memory-mb", memory_mb,
+                   "memory of this process in MB, instead of the one in the settings")
         ->envname("LEDGE_MEMORY_MB")
         ->check(CLI::Range(lovageledge::gateway_settings::min_memory_mb,
                            lovageledge::gateway_settings::max_memory_mb));
