The soak's relay no longer passes on the end of a connection whose bytes it dropped

TCP can't deliver an end before the bytes in front of it. Change: after dropped bytes the end is held back until the connection is reset, which the end of the fault does. The checks are unchanged. Conclusion: a fault of the stand-in; no gateway could have told.

--- a/tests/soak/relay.py
+++ b/tests/soak/relay.py
@@ -64,13 +64,18 @@
             self.writers -= {writer, target_writer}
 
     async def _pump(self, reader, writer, is_silent):
+        has_dropped = False
         try:
             while data := await reader.read(65536):
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
-                if not is_silent(data):
+                if is_silent(data):
+                    has_dropped = True
+                else:
                     writer.write(data)
                     await writer.drain()
+            while has_dropped and not writer.transport.is_closing():
+                await asyncio.sleep(0.05)  # The end can't arrive before the bytes that were dropped; the fault's end resets.
             writer.transport.close()
         except (OSError, asyncio.CancelledError):
             reset_connection(writer)
