--- a/tests/soak/server.py
+++ b/tests/soak/server.py
@@ -11,6 +11,19 @@
 PAUSE_SLACK_S = 0.5  # Requests that were on their way when a gateway was asked for a pause may arrive this long after.
 MAX_LATE_ARRIVALS = 2  # Requests of one gateway that may arrive in the rest of a pause.
 LOAD_TIME_S = 0.1
+# Answers that don't end, by form: the head, in which {id} stands for the request, and the bytes that follow again and again.
+CHUNKED = b"HTTP/1.1 200 X\r\nX-Request-Id: {id}\r\nX-Response-Seal: {id}\r\nTransfer-Encoding: chunked\r\n\r\n"
+PLAIN = b"HTTP/1.1 200 X\r\nX-Request-Id: {id}\r\nX-Response-Seal: {id}\r\n"
+ENDLESS_ANSWERS = {
+    "status line": (b"HTTP/1.1 200 ", b"x"), "header line": (PLAIN + b"X-Y: ", b"x"), "header lines": (PLAIN, b"X-Y: z\r\n"),
+    "no answer": (b"", b"\0"), "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "answers to others": (b"", b"HTTP/1.1 200 X\r\nX-Request-Id: other\r\nContent-Length: 1\r\n\r\nx"),
+    "refusal": (b"HTTP/1.1 503 X\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n"),
+    "chunk size": (CHUNKED, b"1"), "chunk extension": (CHUNKED + b"5;e=", b"x"), "chunks": (CHUNKED, b"400\r\n" + b"x" * 1024 + b"\r\n"),
+    "small chunks": (CHUNKED, b"1\r\nx\r\n"), "trailer line": (CHUNKED + b"0\r\nX-Y: ", b"x"), "trailers": (CHUNKED + b"0\r\n", b"X-Y: z\r\n"),
+    "length": (PLAIN + b"Content-Length: 1000000000000\r\n\r\n", b"x"), "neither": (PLAIN + b"\r\n", b"x"),
+    "failure": (PLAIN.replace(b"200", b"500") + b"\r\n", b"x"), "one event": (CHUNKED, b"6\r\ndata: \r\n")}
+FLOOD_BLOCK, FLOOD_PAUSE_S = 65536, 0.001  # Bounds what this process, which also plays everything else, spends on a flood.
 
 
 def parse_head(head):
@@ -45,6 +58,8 @@
         self.pauses = {}           # Begin and end of the pause and arrivals in it, by gateway.
         self.crash_trigger = None  # A function of server, request id, path and body: "crash", "fail" (answer 500) or None.
         self.on_crash = None       # Called when a request has ended the server.
+        self.work_s = 0.03         # How long a plain server works on a request.
+        self.endless = None        # A form of ENDLESS_ANSWERS, with which requests are answered.
         self.frames_streams = True  # Otherwise, streams have neither a length nor chunks and end with their connection.
 
     def entry(self, address, state="ready"):
@@ -108,7 +123,8 @@
         adapter = order.get("adapter")
         if adapter is None:
             return 200, {}
-        held = adapter in self.adapters or adapter in self.loading
+        version = order.get("version", self.observations.newest_version(adapter))
+        held = self.adapters.get(adapter) == version or self.loading.get(adapter) == version
         if order["operation"] == "load" and held:
             return (200 if adapter in self.adapters else 202), {}
         if order.get("expected_rev", self.sequence) != self.sequence:
@@ -120,15 +136,19 @@
                 return 202, {}
             self.adapters.pop(adapter, None)
             return 200, {}
-        if len(self.adapters) + len(self.loading) >= ADAPTER_SLOTS:
+        if len({*self.adapters, *self.loading, adapter}) > ADAPTER_SLOTS:
             self.observations.violations.append(f"{self.name} was told to load more adapters than it has slots")
-        self.loading[adapter] = 1
-        asyncio.get_running_loop().call_later(LOAD_TIME_S, self._loaded, adapter)
+        self.loading[adapter] = version
+        asyncio.get_running_loop().create_task(self._load(adapter, version))
         return 202, {}
 
-    def _loaded(self, adapter):
-        if self.loading.pop(adapter, None):
-            self.adapters[adapter] = 1
+    async def _load(self, adapter, version):
+        await asyncio.sleep(LOAD_TIME_S)
+        while self.in_use.get(adapter):
+            await asyncio.sleep(0.01)  # A replacement waits for the runs on the former version.
+        if self.loading.get(adapter) == version:
+            del self.loading[adapter]
+            self.adapters[adapter] = version
 
     async def _handle_request(self, writer, method, path, headers, body):
         request_id = headers.get("x-request-id", "")
@@ -144,7 +164,9 @@
         if self.announces_leaving:
             self.leaving_told_at.setdefault(gateway, time.monotonic() + 1.0)  # The request may take this long.
         adapter = headers.get("x-model", "").partition("/")[2]
-        if headers.get("x-expect-instance", self.name) != self.name or (self.is_engine and adapter not in self.adapters):
+        held = self.adapters.get(adapter)
+        lacks_version = self.is_engine and (held is None or headers.get("x-expect-version", str(held)) != str(held))
+        if headers.get("x-expect-instance", self.name) != self.name or lacks_version:
             await self._respond(writer, headers, 421, {}, [f"X-Instance-Id: {self.name}"])
             return
         if adapter in self.pending_unloads:
@@ -153,7 +175,13 @@
         if self.leaving_since and time.monotonic() > self.leaving_since + self.observations.leaving_limit_s:
             self.observations.violations.append(
                 f"{self.name} got request {request_id} {time.monotonic() - self.leaving_since:.1f} s after it began to leave")
+        if self.endless == "refusal":
+            await self._send_endless(writer, request_id)
         self.observations.record_run(request_id, self.name, self.service, path, body)
+        if self.is_engine:
+            self.check_version(request_id, gateway, adapter)
+        if self.endless:
+            await self._send_endless(writer, request_id)
         self.running += 1
         self.in_use[adapter] = self.in_use.get(adapter, 0) + 1
         try:
@@ -174,6 +202,27 @@
                 self.pending_unloads.discard(adapter)
                 self.adapters.pop(adapter, None)
 
+    def check_version(self, request_id, gateway, adapter):
+        """Reports a request that begins on a version that a newer one has replaced for longer than the limit."""
+        now, held, history = time.monotonic(), self.adapters[adapter], self.observations.history
+        for version, named_at in self.observations.named_versions.get(adapter, []):
+            age = now - named_at
+            if (version > held and age > self.observations.version_limit_s and now > self.observations.links_disturbed_until
+                    and not history.is_disturbed({f"gateway-{gateway}", "store"}, now, age + self.observations.stability_window_s)):
+                self.observations.violations.append(f"{request_id} of gateway {gateway} began on {self.name} on version {held} of "
+                                                    f"{adapter}, {age:.2f} s after version {version} was named")
+
+    async def _send_endless(self, writer, request_id):
+        head, repeated = ENDLESS_ANSWERS[self.endless]
+        writer.write(head.replace(b"{id}", request_id.encode()))
+        block = repeated * (FLOOD_BLOCK // len(repeated) + 1)
+        self.observations.floods[self.endless] = self.observations.floods.get(self.endless, 0) + 1
+        while not writer.is_closing():
+            writer.write(block)
+            await writer.drain()
+            await asyncio.sleep(FLOOD_PAUSE_S)
+        raise ConnectionResetError
+
     def find_crashing_part(self, headers):
         parts = shared_parts(headers.get("x-prompt-prefix", ""))
         return next((self.observations.crashing_parts[part] for part in parts if part in self.observations.crashing_parts), None)
@@ -199,7 +248,7 @@
         return "Server-Leaving: 1\r\n" if self.announces_leaving else ""
 
     async def _plain(self, writer, headers, request_id, body, _crashes):
-        await asyncio.sleep(0.03)
+        await asyncio.sleep(self.work_s)
         if self.responses_to_drop > 0:
             self.responses_to_drop -= 1
             raise ConnectionResetError
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -12,6 +12,8 @@
 - A request that crashes servers reaches few of them once it has crashed three; sound requests are not refused for it.
 - The same for requests with a part of prompts that crashes servers, once five have ended, see crashing_part.py.
 - A new configuration takes effect within its limit, and existing routes are never denied.
+- A version of an adapter is not served for long after a newer one was named, however many follow.
+- Bytes without end, of servers or callers, neither take a gateway's memory nor end its process.
 - Graceful shutdowns interrupt no requests, and requests are served again after the last fault.
 """
 import argparse
@@ -29,7 +31,7 @@
 from crashing_part import CrashingPart
 from order_history import OrderHistory
 from relay import Relay
-from server import Server
+from server import ENDLESS_ANSWERS, Server
 from store import Store
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -37,6 +39,13 @@
 LEAVING_LIMIT_S = 4.0      # The gateways' setting leaving_limit_ms.
 CONFIGURATION_LIMIT_S = 4.0
 GRACE_S = 8.0
+VERSION_LIMIT_S = 5.0
+STREAM_DEADLINES_MS = [1000, 1500, 4000, 4000]  # With little time left, a request may still begin on an older version.
+MEMORY_MB = 128            # The gateways' setting memory_mb.
+# Requests that don't end: the head, and the bytes that follow again and again.
+CHUNKED_REQUEST = b"POST /book/x HTTP/1.1\r\nHost: soak\r\nTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS_REQUESTS = [(CHUNKED_REQUEST, b"1"), (CHUNKED_REQUEST + b"5;e=", b"x"), (CHUNKED_REQUEST + b"0\r\nX-Y: ", b"x"),
+                    (CHUNKED_REQUEST, b"1;e=" + b"x" * 100 + b"\r\nx\r\n"), (b"GET /", b"x"), (b"GET /read/x HTTP/1.1\r\n", b"X-Y: z\r\n")]
 RESTART_S = 1.1            # A crashed server starts again after this time,
 EXPIRY_S = 3.6             # and the platform drops the entry of its former start after this one.
 CRASH_LIMIT = 3            # After this many servers have ended under a request,
@@ -56,8 +65,16 @@
         self.leaving_limit_s = LEAVING_LIMIT_S + RECOVERY_LIMIT_S
         self.announced_leaving_limit_s = LEAVING_LIMIT_S
         self.crashing_parts = {}  # By the part's id.
+        self.named_versions = {}  # By adapter: versions after 1 and when the store acknowledged each.
+        self.version_limit_s, self.stability_window_s = VERSION_LIMIT_S, STABILITY_WINDOW_S
+        self.links_disturbed_until = 0.0
+        self.floods = {}  # Number of answers without end, by form.
         self.entries = {}  # The gateway that a request was sent to, and when, by request id.
 
+    def newest_version(self, adapter):
+        named = self.named_versions.get(adapter)
+        return named[-1][0] if named else 1
+
     def record_run(self, request_id, server, service, path, body):
         self.runs.setdefault(request_id, []).append(server)
         if request_id not in self.requests:
@@ -99,6 +116,8 @@
         self.crashing_requests, self.crash_random = {}, random.Random(seed + 1)
         self.part_random, self.plays_crashing_parts = random.Random(seed + 2), True
         self.is_over, self.replacements, self.wrong_refusals = False, [], 0
+        self.endless_random, self.version_random = random.Random(seed + 3), random.Random(seed + 4)
+        self.plays_endless_bytes, self.expected_ends, self.peak_memory_mb = True, set(), 0.0
 
     # Deployment
 
@@ -156,7 +175,8 @@
         text = (f"[instance]\nname = {name}\ndata_centre = {zone}\nregion = {ZONES[zone]}\n"
                 f"caller_address = 127.0.0.1:{base + index}\nreadiness_address = 127.0.0.1:{base + 100 + index}\n"
                 f"peer_address = 127.0.0.1:{base + 200 + index}\n[platform]\naddress = 127.0.0.1:{self.port + 1 + index}\n"
-                f"[bounds]\nstop_limit_s = {GRACE_S}\nleaving_limit_ms = {int(LEAVING_LIMIT_S * 1000)}\nretry_extra = 200\n[data_centres]\n"
+                f"[bounds]\nstop_limit_s = {GRACE_S}\nleaving_limit_ms = {int(LEAVING_LIMIT_S * 1000)}\nretry_extra = 200\n"
+                f"version_limit_ms = {int(VERSION_LIMIT_S * 1000)}\n[limits]\nmemory_mb = {MEMORY_MB}\n[data_centres]\n"
                 + "".join(f"{z} = {r}\n" for z, r in ZONES.items()))
         path = self.folder / f"{name}.ini"
         path.write_text(text)
@@ -164,6 +184,28 @@
             self.processes[name] = subprocess.Popen([str(self.build / "bin" / "ledge-gateway"), "--settings", str(path)],
                                                     stdout=log, stderr=log)
         self.stop_times.pop(name, None)
+        self.expected_ends.discard(name)
+
+    async def watch_processes(self):
+        """Reports gateways that end by themselves, or take more memory than they were granted."""
+        while not self.is_over:
+            await asyncio.sleep(0.1)
+            for name, process in self.processes.items():
+                if process.poll() is None:
+                    self.check_memory(name, process)
+                elif name not in self.expected_ends:
+                    self.expected_ends.add(name)
+                    self.observations.violations.append(f"{name} ended by itself with {process.returncode}")
+
+    def check_memory(self, name, process):
+        try:
+            status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+        except OSError:
+            return
+        peak = next((int(line.split()[1]) / 1000 for line in status.splitlines() if line.startswith("VmHWM")), 0.0)
+        self.peak_memory_mb = max(self.peak_memory_mb, peak)
+        if peak > MEMORY_MB:
+            self.observations.violations.append(f"{name} has taken more than {MEMORY_MB} MB of memory")
 
     async def is_ready(self, index):
         status, _, _ = await self.request_once(self.port + 200 + index, b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", 2.0)
@@ -240,7 +282,8 @@
         path = {"stream": "/stream/x", "unsafe": "/book/x", "safe": "/read/x"}[kind]
         body = b"" if kind == "safe" else request_id.encode() * rng.choice([1, 10, 500])
         self.observations.requests[request_id] = ("unsafe" if kind != "safe" else "safe", path, body)
-        lines = [f"{'GET' if kind == 'safe' else 'POST'} {path} HTTP/1.1", "Host: soak", f"X-Request-Id: {request_id}", "X-Deadline-Ms: 4000"]
+        lines = [f"{'GET' if kind == 'safe' else 'POST'} {path} HTTP/1.1", "Host: soak", f"X-Request-Id: {request_id}",
+                 f"X-Deadline-Ms: {self.version_random.choice(STREAM_DEADLINES_MS) if kind == 'stream' else 4000}"]
         if kind == "stream":
             rank = min(int(rng.paretovariate(0.7)), 12)
             first, second = rng.choice(FIRST_PARTS), rng.choice(SECOND_PARTS)
@@ -339,6 +382,7 @@
             return
         process = self.processes[self.gateway_name(index)]
         self.stop_times[self.gateway_name(index)] = time.monotonic()
+        self.expected_ends.add(self.gateway_name(index))
         end_stop = self.begin_disturbance("stop", index)
         for _ in range(self.random.randint(1, 2)):
             process.send_signal(signal.SIGTERM)
@@ -360,6 +404,7 @@
         if index is not None:
             self.extend_fault_period(3)
             end_kill = self.begin_disturbance("kill", index)
+            self.expected_ends.add(self.gateway_name(index))
             self.processes[self.gateway_name(index)].kill()
             self.processes[self.gateway_name(index)].wait()
             await asyncio.sleep(self.random.random() * 2)
@@ -447,12 +492,13 @@
         self.store.late_write_delay = None
         end_fault(time.monotonic())
 
-    def pick_server(self):
+    def pick_server(self, rng=None):
         """Picks a server that is not leaving, or None if it is the last of its service."""
+        rng = rng or self.random
         ready = [s for s in self.servers.values() if s.leaving_since is None]
-        service = self.random.choice(["engine", "plain"])
+        service = rng.choice(["engine", "plain"])
         found = [s for s in ready if s.service == service]
-        return self.random.choice(found) if len(found) > 1 else None
+        return rng.choice(found) if len(found) > 1 else None
 
     async def crash_server(self):
         server = self.pick_server()
@@ -573,12 +619,59 @@
             server.order_delay_s = 2.0 if mode == "late" else 0.0
             if mode == "reset":
                 server.relay.reset()
+            if mode in ("silent", "reset"):
+                self.observations.links_disturbed_until = time.monotonic() + 3 + VERSION_LIMIT_S + STABILITY_WINDOW_S
             await asyncio.sleep(3)
             server.relay.clear_faults()
             self.observations.history.link_releases.append((server.name, time.monotonic()))
             server.responses_to_drop = server.responses_to_truncate = 0
             server.order_delay_s = 0.0
 
+    async def name_versions(self, seconds):
+        """Names versions of popular adapters, some within milliseconds of each other and some long after."""
+        rng, end = self.version_random, time.monotonic() + seconds
+        while time.monotonic() < end:
+            adapter = f"a{rng.randint(1, 4)}"
+            named = self.observations.named_versions.setdefault(adapter, [])
+            version = self.observations.newest_version(adapter) + rng.choice([1, 1, 2, 7])
+            named.append((version, float("inf")))  # Workers load it from now on.
+            await self.store.put("versions", f"base.{adapter}", {"model": "base", "adapter": adapter, "version": version})
+            named[-1] = (version, time.monotonic())
+            await asyncio.sleep(rng.choice([0.001, 0.02, 0.3, 1.0, 2.4, 6.0]) * rng.uniform(0.5, 1.5))
+
+    async def send_endless_bytes(self, seconds):
+        """Lets servers answer, and callers ask, with bytes without end, one or many at once."""
+        rng, end = self.endless_random, time.monotonic() + seconds
+        while self.plays_endless_bytes and time.monotonic() < end:
+            await asyncio.sleep(rng.uniform(0.5, 4))
+            if rng.random() < 0.4:
+                await asyncio.gather(*(self.send_endless_request() for _ in range(rng.choice([1, 1, 4, 20]))))
+                continue
+            server = self.pick_server(rng)
+            if server:
+                self.extend_fault_period(3)
+                server.endless = rng.choice(sorted(ENDLESS_ANSWERS))
+                await asyncio.sleep(rng.uniform(0.2, 1.5))
+                server.endless = None
+
+    async def send_endless_request(self):
+        rng = self.endless_random
+        running = [i for i in range(self.gateway_count) if self.accepts_callers(i)]
+        head, repeated = rng.choice(ENDLESS_REQUESTS)
+        if not running:
+            return
+        try:
+            async with asyncio.timeout(6.0):
+                _, writer = await asyncio.open_connection("127.0.0.1", self.port + 100 + rng.choice(running))
+                writer.write(head)
+                while not writer.is_closing():
+                    writer.write(repeated * (65536 // len(repeated)))
+                    await writer.drain()
+                    await asyncio.sleep(0.002)
+                writer.transport.abort()
+        except (OSError, TimeoutError):
+            pass
+
     async def inject_faults(self, seconds):
         kinds = [self.planned_stop, self.kill, self.pause, self.hangup, self.cut_store, self.store_fault, self.crash_server,
                  self.drain_server, self.server_fault, self.configure, self.pause_holder, self.cut_holder, self.late_writes, self.send_crashing_request]
@@ -610,7 +703,9 @@
     async def run_scenario(self, seconds, callers):
         await self.start()
         tasks = [asyncio.create_task(self.run_caller(i)) for i in range(callers)] + [asyncio.create_task(self.refresh_entries())]
-        await asyncio.gather(self.inject_faults(seconds), self.play_crashing_parts(seconds))
+        tasks.append(asyncio.create_task(self.watch_processes()))
+        await asyncio.gather(self.inject_faults(seconds), self.play_crashing_parts(seconds), self.name_versions(seconds),
+                             self.send_endless_bytes(seconds))
         await asyncio.gather(*self.replacements)
         for index in range(self.gateway_count):
             if self.processes[self.gateway_name(index)].poll() is None:
@@ -651,7 +746,7 @@
     violations = sorted(set(soak.observations.violations))
     print(f"seed {seed}: {len(violations)} violations, answers {soak.outcomes}, "
           f"{len(soak.observations.history.orders)} orders, {soak.store.calls} calls, {soak.wrong_refusals} refused for crashes of "
-          f"others, servers ended by parts {[len(part.crashes) for part in soak.observations.crashing_parts.values()]}")
+          f"others, floods {sum(soak.observations.floods.values())}, peak {soak.peak_memory_mb:.0f} MB, servers ended by parts {[len(part.crashes) for part in soak.observations.crashing_parts.values()]}")
     for violation in violations:
         print(f"  VIOLATION {violation}")
     return not violations and soak.outcomes.get(200, 0) > 0
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -2,13 +2,15 @@
 """Tests of the soak's checks: each must report a violation of the guarantee that it covers."""
 import asyncio
 import pathlib
+import subprocess
+import sys
 import time
 import unittest
 
 from crashing_part import CrashingPart
 from order_history import Order, OrderHistory
 from server import ADAPTER_SLOTS, Server
-from soak import CrashingRequest, Observations, Soak
+from soak import MEMORY_MB, VERSION_LIMIT_S, CrashingRequest, Observations, Soak
 from store import Store
 
 
@@ -37,6 +39,44 @@
         self.observations.record_run("a", "s1", "plain", "/book/x", b"other")
         self.assert_broken("another path or body")
 
+    def check_version(self, age_s, disturbed=None):
+        server, now = Server("s1", "engine", True, self.observations), time.monotonic()
+        server.adapters["a1"] = 1
+        self.observations.named_versions["a1"] = [(2, now - age_s), (3, now - 0.1)]
+        if disturbed:
+            self.observations.history.begin("pause", disturbed, now - 1.0)(now - 0.5)
+        server.check_version("a", 0, "a1")
+
+    def test_outdated_version_is_reported_though_a_newer_one_was_just_named(self):
+        self.check_version(VERSION_LIMIT_S + 0.5)
+        self.assert_broken("on version 1 of a1")
+
+    def test_outdated_version_is_allowed_within_the_limit_and_after_a_disturbance(self):
+        self.check_version(VERSION_LIMIT_S - 0.5)
+        self.check_version(VERSION_LIMIT_S + 0.5, "gateway-0")
+        self.assertEqual([], self.observations.violations)
+
+    def test_process_that_ends_by_itself_or_takes_too_much_memory(self):
+        async def watch(is_expected):
+            soak = Soak(1, 1, 0, ".", ".")
+            soak.processes["gateway-0"] = subprocess.Popen(["true"])
+            soak.processes["gateway-0"].wait()
+            soak.expected_ends |= {"gateway-0"} if is_expected else set()
+            task = asyncio.create_task(soak.watch_processes())
+            await asyncio.sleep(0.25)
+            soak.is_over = True
+            await task
+            return soak.observations.violations
+        self.assertEqual([], asyncio.run(watch(True)))
+        self.assertEqual(["gateway-0 ended by itself with 0"], asyncio.run(watch(False)))
+        large = subprocess.Popen([sys.executable, "-c", f"held = bytearray({MEMORY_MB + 50} * 10 ** 6); print(1, flush=True); input()"],
+                                 stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+        large.stdout.readline()
+        soak = Soak(1, 1, 0, ".", ".")
+        soak.check_memory("gateway-0", large)
+        large.communicate(b"\n")
+        self.assertEqual([f"gateway-0 has taken more than {MEMORY_MB} MB of memory"], soak.observations.violations)
+
     def test_late_copies_of_a_request_that_crashed_three_servers(self):
         history, request = OrderHistory(), CrashingRequest("crash-0", "GET", "/read/x", b"", [])
         request.crashes = {"s1": 10.0, "s2": 11.0, "s3": 12.0, "s4": 17.0}
