Bytes that are no answer don't count as a crash of their server

Callers saw: sound requests refused for crashes of servers (503), while a server answered with bytes without end. Cause: each broken answer counted as a sighting of a crash, also one that was given up because its bytes were malformed or did not end. The server that sends them goes on running, so the request has not ended it. Change: a connection says whether its server has misbehaved rather than ended; record_broken_answer() leaves such answers out. The server is avoided as before.

--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -179,6 +179,9 @@
 }
 
 void request_handler::record_broken_answer(const server_listing& listing) {
+    if (connection_ && connection_->has_misbehaved()) {
+        return; // The server goes on running, so the request has not crashed it.
+    }
     const server_start_id server_start = make_server_start_id(listing.name, listing.started_at);
     const duration ran_for = state_.now() - sent_at_;
     for (const crash_suspect& suspect : suspects_) {
--- a/modules/transport/forwarding_connection.cpp
+++ b/modules/transport/forwarding_connection.cpp
@@ -45,9 +45,17 @@
 void forwarding_connection::abort_with_error(const char* step, const boost::system::error_code& code,
                                              error& why) {
     why = {step, address_, code.message()};
+    const bool is_malformed = code.category() == http::make_error_code(http::error::bad_chunk).category() &&
+                              code != http::error::end_of_stream && code != http::error::partial_message;
+    has_misbehaved_ = has_misbehaved_ || is_malformed;
     abort();
 }
 
+void forwarding_connection::abort_at_deadline(error& why) {
+    has_misbehaved_ = true;
+    abort_with_error("http.read", beast::error::timeout, why);
+}
+
 void forwarding_connection::abort() {
     is_aborted_ = true;
     boost::system::error_code ignored;
@@ -126,7 +134,7 @@
         co_return std::nullopt;
     }
     if (has_passed(deadline)) {
-        abort_with_error("http.read", beast::error::timeout, why);
+        abort_at_deadline(why);
         co_return std::nullopt;
     }
     parser_.emplace();
@@ -157,7 +165,7 @@
                                                                                   error& why) {
     while (!parser_->is_done()) {
         if (has_passed(deadline)) {
-            abort_with_error("http.read", beast::error::timeout, why);
+            abort_at_deadline(why);
             co_return std::nullopt;
         }
         parser_->get().body().data = read_buffer_.data();
--- a/modules/transport/include/lovageledge/transport/forwarding_connection.hpp
+++ b/modules/transport/include/lovageledge/transport/forwarding_connection.hpp
@@ -58,6 +58,9 @@
         discarded. */
     void abort();
     bool is_aborted() const { return is_aborted_; }
+    /** @returns true if the last failure shows that the server goes on running: it sent bytes that are no
+        response, or kept sending beyond the deadline */
+    bool has_misbehaved() const { return has_misbehaved_; }
     /** @returns true if another request may be sent on this connection: the last response was read to its
         end, and HTTP keep-alive is in effect */
     bool keeps_alive() const;
@@ -72,6 +75,8 @@
 
 private:
     void abort_with_error(const char* step, const boost::system::error_code& code, error& why);
+    /** As abort_with_error(), at a deadline that the server has not kept though it is sending. */
+    void abort_at_deadline(error& why);
     void update_idle_limit(const response_head& head);
 
     /** Maximum size of the status line and headers of a response. */
@@ -93,6 +98,7 @@
     std::uint32_t sent_requests_ = 0;
     bool is_writing_ = false;
     bool is_aborted_ = false;
+    bool has_misbehaved_ = false;
 };
 
 } // namespace lovageledge
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -84,6 +84,7 @@
     CPPUNIT_TEST(server_that_holds_more_than_the_required_version_runs_the_request);
     CPPUNIT_TEST(response_parts_without_end_are_not_kept);
     CPPUNIT_TEST(responses_without_end_share_one_budget_and_sound_ones_go_on);
+    CPPUNIT_TEST(servers_that_send_bytes_without_end_have_not_crashed);
     CPPUNIT_TEST(deadline_holds_while_the_server_keeps_sending);
     CPPUNIT_TEST(refusal_with_a_body_without_end_does_not_hold_the_request);
     CPPUNIT_TEST_SUITE_END();
@@ -345,6 +346,24 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, gateway_->state.memory->held());
     }
 
+    // Sound requests were refused as crashing, since servers that misbehave counted as ended under them.
+    void servers_that_send_bytes_without_end_have_not_crashed() {
+        const std::string head =
+            "HTTP/1.1 200 OK\r\n" + run_headers("ID") + "Transfer-Encoding: chunked\r\n\r\n";
+        std::atomic<std::size_t> sent{0};
+        const auto chunk_line = flooding(head, "1", sent);
+        const scripted_server first{chunk_line};
+        const scripted_server second{chunk_line};
+        const scripted_server third{chunk_line};
+        const scripted_server fourth{chunk_line};
+        start({&first, &second, &third, &fourth});
+        for (int i = 0; i < 6; ++i) {
+            sent = 0;
+            const std::string answer = request(plain_path, std::to_string(i));
+            CPPUNIT_ASSERT_MESSAGE(answer, has_status(answer, 502));
+        }
+    }
+
     // A stream's timer ends only reads that have to wait, so that a request could stay open without an
     // answer.
     void deadline_holds_while_the_server_keeps_sending() {
