Proper chunks without end are checked against the deadline, not for status 502

Trace: the last form, proper chunks of 5 bytes; 4.4 of the 8 MiB that an answer may have had come when its deadline of 5 s was reached, and the request ended at 5,001 ms. 504 at the deadline is right; the test took it for granted that 8 MiB come sooner, which no target says. Change: this form moves to deadline_holds_while_the_server_keeps_sending, which demands an answer within 0.5 s of the deadline. Conclusion: a wrong expectation of the test; the product is unchanged.

--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -304,7 +304,6 @@
             {head, "Header: x\r\n"},
             {head + "Content-Length: 1000000000000\r\n\r\n", "x"},
             {head + "\r\n", "x"},
-            {chunked, "5\r\nhello\r\n"},
         };
         for (const auto& [begin, bytes] : floods) {
             std::atomic<std::size_t> sent{0};
@@ -370,6 +369,7 @@
         const std::string head = "HTTP/1.1 200 OK\r\n" + run_headers("ID");
         const std::string other = "HTTP/1.1 200 OK\r\n" + run_headers("other") + "Content-Length: 1\r\n\r\nx";
         const std::vector<std::pair<std::string, std::string>> floods{
+            {head + "Transfer-Encoding: chunked\r\n\r\n", "5\r\nhello\r\n"},
             {"", "HTTP/1.1 100 Continue\r\n\r\n"},
             {"", other},
             {"HTTP/1.1 200 OK\r\n" + run_headers("other") + "Content-Length: 1000000000000\r\n\r\n", "x"},
