--- a/modules/base/include/lovageledge/base/strong_id.hpp
+++ b/modules/base/include/lovageledge/base/strong_id.hpp
@@ -46,6 +46,8 @@
 using pool_name = strong_id<struct pool_name_tag>;
 /** Names a calling service that the sheet declares. */
 using service_name = strong_id<struct service_name_tag>;
+/** Names a client account of the configuration. */
+using account_name = strong_id<struct account_name_tag>;
 /** Names a region. */
 using region_name = strong_id<struct region_name_tag>;
 /** Names a data centre. */
--- a/modules/serving/include/lovageledge/serving/serving.hpp
+++ b/modules/serving/include/lovageledge/serving/serving.hpp
@@ -21,4 +21,5 @@
 #include "lovageledge/serving/success_registry.hpp"
 #include "lovageledge/serving/traffic_configuration.hpp"
 #include "lovageledge/serving/unserved_status.hpp"
+#include "lovageledge/serving/usage_cap.hpp"
 #include "lovageledge/serving/version_registry.hpp"
