Class usage_caps: admission of requests within accounts' usage caps

Cause: a cap holds for the sum of all gateways, so each gateway needs a replica of the account's token bucket. Change: usage_caps with set_accounts, admit, give_back, and the functions by which the exchange reads counters and applies levels; member caps of gateway_state. It is not connected to the messages yet, so each gateway spends its equal share.

--- a/modules/gateway/gateway_state.cpp
+++ b/modules/gateway/gateway_state.cpp
@@ -13,7 +13,8 @@
                                                    on_given_up(use, bytes);
                                                })},
       codec{std::move(given_codec)}, platform{std::move(given_platform)}, store{platform.store},
-      selector{settings.selector, [this](const data_centre_name& name) { return is_local(name); }} {
+      selector{settings.selector, [this](const data_centre_name& name) { return is_local(name); }},
+      caps{settings.caps} {
     retries.set_allowance(settings.retries);
     versions.set_limit(settings.version_limit);
     crashes.set_on_withdrawn([this](const withdrawn_sighting& sighting) {
--- a/modules/gateway/include/lovageledge/gateway/gateway_settings.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway_settings.hpp
@@ -35,6 +35,7 @@
     selector_settings selector;
     planner_settings planner;
     succession_settings succession;
+    cap_settings caps;
     /** Bandwidth of this instance's network link, in Mbit/s; 0 if unknown. */
     double link_mbps = 0.0;
     /** Interval of the heartbeats to the gateways of the same data centre. */
--- a/modules/gateway/include/lovageledge/gateway/gateway_state.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway_state.hpp
@@ -22,6 +22,8 @@
     /** @returns true if a data centre is in this gateway's region */
     bool is_local(const data_centre_name& data_centre) const;
     time_point now() const { return clock.now(); }
+    /** @returns the time, including that for which the machine was suspended */
+    time_point now_with_suspension() const { return clock.now_with_suspension(); }
     /** @returns true if this gateway knows enough to serve requests */
     bool may_serve() const { return routes && (has_read_records || now() >= serves_without_records_from); }
 
@@ -43,6 +45,8 @@
     server_selector selector;
     retry_budget retries;
     demand_meter demand;
+    /** Usage caps of the client accounts. Their time points are those of now_with_suspension(). */
+    usage_caps caps;
     /** Requests that crash the servers that run them. */
     crash_registry crashes{crash_limit};
     /** The gateways' records have been read, and with them the requests that are refused. */
--- a/modules/serving/include/lovageledge/serving/serving.hpp
+++ b/modules/serving/include/lovageledge/serving/serving.hpp
@@ -22,4 +22,5 @@
 #include "lovageledge/serving/traffic_configuration.hpp"
 #include "lovageledge/serving/unserved_status.hpp"
 #include "lovageledge/serving/usage_cap.hpp"
+#include "lovageledge/serving/usage_caps.hpp"
 #include "lovageledge/serving/version_registry.hpp"
--- /dev/null
+++ b/modules/serving/usage_caps.cpp
@@ -0,0 +1,313 @@
+#include "lovageledge/serving/usage_caps.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lovageledge {
+namespace {
+
+/** Time in which the level returns to its target. Shorter times react to reports that lag by up to 0.55 s. */
+constexpr double relaxation_s = 2.0;
+/** Least Retry-After. */
+constexpr auto min_retry_after = std::chrono::milliseconds{100};
+/** Own usage is summed over times of this length. */
+constexpr auto spending_interval = std::chrono::milliseconds{100};
+/** Usage that others have admitted is known this long after, on average: a half of each interval of the
+    messages on the way. */
+constexpr double mean_report_lag_s = 0.3;
+/** Seconds' worth of the rate by which a surge may be admitted before all gateways know of it. */
+constexpr double surge_reserve_s = 1.0;
+/** An account that has not refused for this long has stopped refusing. */
+constexpr auto refusing_lifetime = std::chrono::seconds{1};
+
+double to_seconds(duration time) {
+    return std::chrono::duration<double>(time).count();
+}
+
+/** Spreads the bits of a digest evenly (splitmix64). */
+std::uint64_t mix(std::uint64_t value) {
+    value += 0x9e3779b97f4a7c15ULL;
+    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
+    return value ^ (value >> 31U);
+}
+
+/** @returns a number from 0 up to but not including 1 */
+double to_fraction(std::uint64_t hash) {
+    constexpr double two_to_53 = 9007199254740992.0;
+    return static_cast<double>(mix(hash) >> 11U) / two_to_53;
+}
+
+} // namespace
+
+double cap_settings::allowed_excess(const usage_cap& cap) const {
+    return tolerance * (cap.rate_per_second * to_seconds(window) + cap.burst) + slack;
+}
+
+double heard_gateways::share(double tolerance) const {
+    const double heard_share =
+        static_cast<double>(heard) / static_cast<double>(std::max<std::size_t>(1, registered));
+    return std::min(1.0, heard_share * (1.0 + tolerance));
+}
+
+void usage_caps::set_accounts(const std::vector<client_account>& accounts, time_point now) {
+    if (!began_at_) {
+        began_at_ = now;
+    }
+    std::map<account_name, account_state> adopted;
+    for (const client_account& account : accounts) {
+        if (!account.cap.is_limited()) {
+            continue;
+        }
+        const auto known = accounts_.find(account.name);
+        const bool is_same_unit =
+            known != accounts_.end() && known->second.cap.counted == account.cap.counted;
+        account_state state;
+        state.limited_since = now;
+        state.told_at = now;
+        if (is_same_unit) {
+            state = std::move(known->second);
+            // The level up to now follows the old cap.
+            const double level = level_of(state, now);
+            const double own = static_cast<double>(state.own.net()) - static_cast<double>(state.included_net);
+            state.told.level = std::min(level, account.cap.burst) + own;
+            state.told_at = now;
+        }
+        state.cap = account.cap;
+        adopted.emplace(account.name, std::move(state));
+    }
+    accounts_ = std::move(adopted);
+}
+
+double usage_caps::effective_rate(const account_state& account) const {
+    return account.cap.rate_per_second * gateways_.share(settings_.tolerance);
+}
+
+double usage_caps::capacity(const account_state& account) const {
+    return account.cap.burst * gateways_.share(settings_.tolerance);
+}
+
+bool usage_caps::is_in_contact(time_point now) const {
+    return last_contact_ && now - *last_contact_ <= contact_limit;
+}
+
+// The told level rises with the rate for at most the contact limit after it was told, since what others admit
+// later is not known.
+double usage_caps::level_of(const account_state& account, time_point now) const {
+    const time_point end = last_contact_ ? std::min(now, *last_contact_ + contact_limit) : account.told_at;
+    const double elapsed = std::max(0.0, to_seconds(end - account.told_at));
+    const double own = static_cast<double>(account.own.net()) - static_cast<double>(account.included_net);
+    return std::min(account.told.level + effective_rate(account) * elapsed, capacity(account)) - own;
+}
+
+double usage_caps::demand_of(const account_state& account) const {
+    const double unreported = static_cast<double>(account.own.asked - account.included_asked);
+    return account.told.demand + unreported / to_seconds(demand_time);
+}
+
+double usage_caps::admissible_rate(const account_state& account, time_point now) const {
+    const double rate = effective_rate(account);
+    const double level = level_of(account, now);
+    const double demand = demand_of(account);
+    // What others have admitted since is not known yet, but follows from the demand.
+    const double others = std::min(demand, std::max(0.0, rate + level / relaxation_s));
+    const double present = std::min(level, level + (rate - others) * mean_report_lag_s);
+    const double spare =
+        std::max(0.0, settings_.allowed_excess(account.cap) - surge_reserve_s * account.cap.rate_per_second) /
+        2.0;
+    return std::max(0.0, rate + (present + spare) / relaxation_s);
+}
+
+double usage_caps::shared_probability(const account_state& account, time_point now) const {
+    const double demand = demand_of(account);
+    const double admissible = admissible_rate(account, now);
+    return demand <= admissible ? 1.0 : admissible / demand;
+}
+
+void usage_caps::drop_old_spending(account_state& account, time_point now) const {
+    while (!account.recent.empty() && account.recent.front().begin + settings_.window < now) {
+        account.recent.pop_front();
+    }
+}
+
+void usage_caps::record_spending(account_state& account, std::uint64_t cost, time_point now) const {
+    drop_old_spending(account, now);
+    // The interval's end decides, so that the cost is remembered for the whole window.
+    const time_point end = now + spending_interval;
+    if (account.recent.empty() || account.recent.back().begin < now) {
+        account.recent.push_back({end, 0.0});
+    }
+    account.recent.back().cost += static_cast<double>(cost);
+}
+
+double usage_caps::share_left(account_state& account, time_point now) const {
+    drop_old_spending(account, now);
+    const time_point since = std::max(account.limited_since, began_at_.value_or(now));
+    const duration known = std::max(duration{}, now - since);
+    // Usage before this gateway's start is not known, so its share grows from zero.
+    double share = account.cap.rate_per_second * to_seconds(std::min(known, settings_.window));
+    if (known >= settings_.window) {
+        share += account.cap.burst;
+    }
+    double left = share / static_cast<double>(std::max<std::size_t>(1, gateways_.registered));
+    for (const spending& spent : account.recent) {
+        left -= spent.cost;
+    }
+    return left;
+}
+
+cap_decision usage_caps::admit(const account_name& name, std::uint64_t cost, std::uint64_t request_hash,
+                               time_point now) {
+    const auto found = accounts_.find(name);
+    if (found == accounts_.end() || cost == 0) {
+        return {true, {}};
+    }
+    account_state& account = found->second;
+    const bool in_contact = is_in_contact(now);
+    account.own.asked += cost;
+    double probability = 0.0;
+    if (in_contact) {
+        probability = shared_probability(account, now);
+        account.last_probability = probability;
+    } else {
+        const double left = share_left(account, now);
+        probability = std::clamp(left / static_cast<double>(cost), 0.0, 1.0);
+        // In the first window without contact, the usage before it counts as well, and demand may still be
+        // as high as it was.
+        const bool is_recent = last_contact_ && now - *last_contact_ <= settings_.window;
+        probability *= is_recent ? account.last_probability : 1.0;
+    }
+    if (to_fraction(request_hash) < probability) {
+        account.own.admitted += in_contact ? cost : 0;
+        account.total_admitted += cost;
+        record_spending(account, cost, now);
+        return {true, {}};
+    }
+    account.total_refused += cost;
+    account.last_refusal = now;
+    notice(name, account, true, now);
+    return {false, retry_delay(account, cost, request_hash, in_contact, now)};
+}
+
+duration usage_caps::retry_delay(account_state& account, std::uint64_t cost, std::uint64_t hash,
+                                 bool in_contact, time_point now) const {
+    double seconds = 0.0;
+    if (in_contact) {
+        // The excess of one second's demand, and what the level lacks, at the cap's rate.
+        const double rate = std::max(effective_rate(account), 1e-9);
+        const double excess = std::max(0.0, demand_of(account) - admissible_rate(account, now));
+        seconds = (excess + std::max(0.0, -level_of(account, now))) / rate;
+    } else {
+        const double share = 1.0 / static_cast<double>(std::max<std::size_t>(1, gateways_.registered));
+        const double lacking = static_cast<double>(cost) - share_left(account, now);
+        seconds = std::max(0.0, lacking) / (account.cap.rate_per_second * share);
+    }
+    const double spread = 1.0 + to_fraction(~hash);
+    seconds = std::clamp(seconds, to_seconds(min_retry_after), to_seconds(settings_.window)) * spread;
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>{seconds});
+}
+
+void usage_caps::give_back(const account_name& name, std::uint64_t cost, time_point now) {
+    const auto found = accounts_.find(name);
+    if (found == accounts_.end()) {
+        return;
+    }
+    account_state& account = found->second;
+    drop_old_spending(account, now);
+    double rest = static_cast<double>(cost);
+    for (auto spent = account.recent.rbegin(); spent != account.recent.rend() && rest > 0.0; ++spent) {
+        const double part = std::min(rest, spent->cost);
+        spent->cost -= part;
+        rest -= part;
+    }
+    // Usage out of contact was not counted, so that it can't be given back to the others.
+    account.own.returned += std::min(cost, account.own.net());
+    account.total_admitted -= std::min(cost, account.total_admitted);
+}
+
+std::map<account_name, usage_cap> usage_caps::caps() const {
+    std::map<account_name, usage_cap> caps;
+    for (const auto& [name, account] : accounts_) {
+        caps.emplace(name, account.cap);
+    }
+    return caps;
+}
+
+std::map<account_name, usage_counters> usage_caps::counters() const {
+    std::map<account_name, usage_counters> counters;
+    for (const auto& [name, account] : accounts_) {
+        usage_counters& own = counters.emplace(name, account.own).first->second;
+        own.counted = account.included_net;
+    }
+    return counters;
+}
+
+void usage_caps::on_reported() {
+    for (auto& [name, account] : accounts_) {
+        account.reported_net = account.own.net();
+        account.reported_asked = account.own.asked;
+    }
+}
+
+void usage_caps::on_told(const std::map<account_name, account_level>& levels, const heard_gateways& gateways,
+                         time_point told_at, time_point now) {
+    gateways_ = gateways;
+    last_contact_ = std::min(told_at, now);
+    for (const auto& [name, level] : levels) {
+        const auto found = accounts_.find(name);
+        if (found == accounts_.end()) {
+            continue;
+        }
+        account_state& account = found->second;
+        account.told = level;
+        account.told_at = *last_contact_;
+        account.included_net = account.reported_net;
+        account.included_asked = account.reported_asked;
+    }
+}
+
+void usage_caps::set_registered(std::size_t gateways) {
+    gateways_.registered = std::max<std::size_t>(1, gateways);
+}
+
+std::map<account_name, account_level> usage_caps::told_levels() const {
+    std::map<account_name, account_level> levels;
+    for (const auto& [name, account] : accounts_) {
+        levels.emplace(name, account.told);
+    }
+    return levels;
+}
+
+cap_status usage_caps::status_of(const account_state& account, time_point now) const {
+    return {account.total_admitted, account.total_refused,   level_of(account, now),
+            demand_of(account),     effective_rate(account), is_in_contact(now)};
+}
+
+std::map<account_name, cap_status> usage_caps::status(time_point now) const {
+    std::map<account_name, cap_status> status;
+    for (const auto& [name, account] : accounts_) {
+        status.emplace(name, status_of(account, now));
+    }
+    return status;
+}
+
+void usage_caps::notice(const account_name& name, account_state& account, bool is_refusing, time_point now) {
+    const bool is_due = !account.last_notice || now - *account.last_notice >= refusing_lifetime;
+    if (!is_due || account.is_refusing == is_refusing) {
+        return;
+    }
+    account.is_refusing = is_refusing;
+    account.last_notice = now;
+    if (on_refusing_) {
+        on_refusing_(name, is_refusing, status_of(account, now));
+    }
+}
+
+void usage_caps::tick(time_point now) {
+    for (auto& [name, account] : accounts_) {
+        const bool refuses = account.last_refusal && now - *account.last_refusal < refusing_lifetime;
+        notice(name, account, refuses, now);
+    }
+}
+
+} // namespace lovageledge
