Usage caps: exchange of usage between gateways, settings, log events, metrics

Cause: without knowledge of the others a gateway can only spend its equal share of an account's cap. Change: usage_totals adds up the reports of gateways and data centres for a holder, usage_exchange fills and reads the messages (new parts of GatewayState, DataCentreBeat and DataCentreWork), load_exchange calls it.

--- a/modules/gateway/gateway_settings.cpp
+++ b/modules/gateway/gateway_settings.cpp
@@ -3,6 +3,7 @@
 #include "lovageledge/service/settings_reader.hpp"
 
 #include <charconv>
+#include <spdlog/fmt/fmt.h>
 #include <sstream>
 
 namespace lovageledge {
@@ -81,6 +82,30 @@
     reader.share(section, "wait_share_percent", settings.wait_share);
 }
 
+/** Reads a number within limits, integral or fractional. */
+void read_number(settings_reader& reader, const std::string& section, const std::string& key, double& target,
+                 double minimum, double maximum) {
+    const std::size_t errors = reader.error_count();
+    double value = target;
+    read_fraction(reader, section, key, value);
+    if (reader.error_count() != errors) {
+        return;
+    }
+    if (!(value >= minimum && value <= maximum)) {
+        reader.add_error(section, key, fmt::format("a number from {} to {}", minimum, maximum));
+        return;
+    }
+    target = value;
+}
+
+void read_caps(settings_reader& reader, cap_settings& caps) {
+    double window_s = std::chrono::duration<double>(caps.window).count();
+    read_number(reader, "caps", "window_s", window_s, 1.0, 3600.0);
+    caps.window = std::chrono::duration_cast<duration>(std::chrono::duration<double>{window_s});
+    read_number(reader, "caps", "tolerance", caps.tolerance, 0.0, 1.0);
+    read_number(reader, "caps", "slack", caps.slack, 0.0, 1e12);
+}
+
 } // namespace
 
 std::optional<gateway_settings> parse_gateway_settings(const std::string& text,
@@ -116,6 +141,7 @@
     reader.time_ms("bounds", "order_lease_ms", settings.succession.order_lease);
     reader.flag("bounds", "servers_check_fences", settings.succession.servers_check_fences);
     read_policy(reader, settings);
+    read_caps(reader, settings.caps);
     reader.text("log", "level", settings.log_level);
     read_fraction(reader, "limits", "link_mbps", settings.link_mbps);
     reader.number("limits", "connections", settings.connections, 16, 1'000'000);
--- a/modules/gateway/gateway_state.cpp
+++ b/modules/gateway/gateway_state.cpp
@@ -4,6 +4,21 @@
 #include <spdlog/fmt/fmt.h>
 
 namespace lovageledge {
+namespace {
+
+/** @returns a name from the configuration as it may stand between quotes in metrics and log lines */
+std::string escaped(const std::string& name) {
+    std::string text;
+    for (const char character : name) {
+        if (character == '"' || character == '\\') {
+            text += '\\';
+        }
+        text += static_cast<unsigned char>(character) < ' ' ? ' ' : character;
+    }
+    return text;
+}
+
+} // namespace
 
 gateway_state::gateway_state(gateway_settings given_settings, wire_codec given_codec,
                              platform_port given_platform)
@@ -17,6 +32,12 @@
       caps{settings.caps} {
     retries.set_allowance(settings.retries);
     versions.set_limit(settings.version_limit);
+    caps.set_on_refusing([this](const account_name& account, bool is_refusing, const cap_status& status) {
+        log.write(is_refusing ? event::usage_cap_reached : event::usage_cap_relieved,
+                  fmt::format("account=\"{}\" level={:.0f} demand_per_s={:.0f} rate_per_s={:.0f} contact={}",
+                              escaped(account.text()), status.level, status.demand, status.rate,
+                              status.is_in_contact));
+    });
     crashes.set_on_withdrawn([this](const withdrawn_sighting& sighting) {
         counters.count(fmt::format("crash_sightings_withdrawn_total{{reason=\"{}\"}}", sighting.reason));
         log.write(event::fingerprint_cleared,
@@ -26,6 +47,24 @@
     });
 }
 
+void gateway_state::set_instances(std::size_t count) {
+    retries.set_instances(count);
+    caps.set_registered(count);
+}
+
+void gateway_state::report_caps() {
+    const time_point time = now_with_suspension();
+    caps.tick(time);
+    for (const auto& [name, status] : caps.status(time)) {
+        const std::string label = fmt::format("{{account=\"{}\"}}", escaped(name.text()));
+        counters.set("usage_admitted_total" + label, status.admitted);
+        counters.set("usage_returned_total" + label, status.returned);
+        counters.set("usage_refused_total" + label, status.refused);
+        counters.set("usage_level" + label, static_cast<std::uint64_t>(std::max(0.0, status.level)));
+        counters.set("usage_overdraft" + label, static_cast<std::uint64_t>(std::max(0.0, -status.level)));
+    }
+}
+
 void gateway_state::on_given_up(memory_use use, std::size_t bytes) {
     counters.count(fmt::format("messages_given_up_total{{use=\"{}\"}}", to_text(use)));
     log.write(event::message_given_up, fmt::format("use={} bytes={} held_bytes={} limit_bytes={}",
--- a/modules/gateway/include/lovageledge/gateway/gateway_state.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway_state.hpp
@@ -24,6 +24,11 @@
     time_point now() const { return clock.now(); }
     /** @returns the time, including that for which the machine was suspended */
     time_point now_with_suspension() const { return clock.now_with_suspension(); }
+    /** Sets the number of registered gateways, including this one. */
+    void set_instances(std::size_t count);
+    /** Updates the metrics of the usage caps, and logs which have stopped refusing. Called several times a
+        second. */
+    void report_caps();
     /** @returns true if this gateway knows enough to serve requests */
     bool may_serve() const { return routes && (has_read_records || now() >= serves_without_records_from); }
 
--- a/modules/gateway/include/lovageledge/gateway/load_exchange.hpp
+++ b/modules/gateway/include/lovageledge/gateway/load_exchange.hpp
@@ -2,6 +2,7 @@
 
 #include "lovageledge/gateway/gateway_state.hpp"
 #include "lovageledge/gateway/peer_directory.hpp"
+#include "lovageledge/gateway/usage_exchange.hpp"
 
 #include <functional>
 #include <map>
@@ -49,15 +50,17 @@
     /** Discards all that peers have reported, as when the holder changes. */
     void clear_peer_state();
 
-    /** Discards the reports of sources that have not been heard from for a while. */
-    void expire_silent_peers();
+    /** Discards the reports of sources that have not been heard from for a while, and updates the metrics of
+        usage caps. Called several times a second. */
+    void tick();
 
     /** Tells this data centre's gateways and the other holders of own sightings that can't wait for the next
         heartbeats, which a holder that has failed does not send. Called periodically. */
     void send_urgent_crashes(const std::map<data_centre_name, instance_name>& remote_holders);
 
-    /** Handles the heartbeat of this data centre's holder. */
-    void on_data_centre_beat(const instance_name& from, const protocol::DataCentreBeat& beat);
+    /** Handles the heartbeat of this data centre's holder. @param delay how much longer it took than others
+     */
+    void on_data_centre_beat(const instance_name& from, const protocol::DataCentreBeat& beat, duration delay);
     /** Handles a peer's report of its own work. */
     void on_gateway_state(const instance_name& from, const protocol::GatewayState& state);
     /** Handles the summary of another data centre's holder. */
@@ -100,9 +103,12 @@
     /** @param source whose runs they are, a gateway or a data centre */
     void apply_successes(success_scope scope, const instance_name& source, const success_list& successes);
 
+    void expire_silent_peers();
+
     gateway_state& state_;
     peer_directory& peers_;
     std::function<void(const server_name&, const adapter_ref&)> on_used_;
+    usage_exchange usage_;
     /** Adapters used since the last report. */
     used_adapters recently_used_;
     /** The same at other data centres' servers; on the holder, this includes the uses by its peers. */
--- a/modules/gateway/load_exchange.cpp
+++ b/modules/gateway/load_exchange.cpp
@@ -64,7 +64,8 @@
 
 load_exchange::load_exchange(gateway_state& state, peer_directory& peers,
                              std::function<void(const server_name&, const adapter_ref&)> on_used)
-    : state_{state}, peers_{peers}, on_used_{std::move(on_used)} {}
+    : state_{state}, peers_{peers}, on_used_{std::move(on_used)}, usage_{state.caps, state.settings.name,
+                                                                         state.settings.start} {}
 
 void load_exchange::record_use(const server_name& server, const adapter_ref& ref) {
     recently_used_[server].insert(ref);
@@ -246,6 +247,7 @@
     }
     append_crashes(crash_registry::report_scope::standing, *beat.mutable_crashes());
     append_successes(success_scope::deployment, *beat.mutable_successes());
+    usage_.fill(beat, peers_.all().size() + 1, state_.now_with_suspension());
     peers_.send_to_data_centre(message);
     recently_used_.clear();
 }
@@ -265,6 +267,7 @@
     append_totals(is_in_own_data_centre, *summary.mutable_totals());
     append_crashes(crash_registry::report_scope::recent, *summary.mutable_crashes());
     append_successes(success_scope::data_centre, *summary.mutable_successes());
+    usage_.fill(data_centre, summary, state_.now_with_suspension());
     std::string bytes = summary.SerializeAsString();
     last_summary& last = last_summaries_[data_centre];
     const bool should_send = bytes != last.bytes || state_.now() - last.sent > resend_interval;
@@ -288,6 +291,7 @@
                        *own.mutable_work());
     recently_used_.clear();
     recently_used_remote_.clear();
+    usage_.fill(own, state_.now_with_suspension());
     peers_.send(holder, message);
 }
 
@@ -299,6 +303,7 @@
     reported_to_holder_.clear();
     reported_to_remote_.clear();
     last_summaries_.clear();
+    usage_.on_holder_changed();
 }
 
 void load_exchange::apply_crashes(const instance_name& from, const crash_list& crashes) {
@@ -334,6 +339,11 @@
     last_message_times_[source] = state_.now();
 }
 
+void load_exchange::tick() {
+    expire_silent_peers();
+    state_.report_caps();
+}
+
 void load_exchange::expire_silent_peers() {
     const time_point oldest = state_.now() - work_lifetime;
     std::erase_if(last_message_times_, [&](const auto& entry) {
@@ -376,7 +386,9 @@
     }
 }
 
-void load_exchange::on_data_centre_beat(const instance_name& from, const protocol::DataCentreBeat& beat) {
+void load_exchange::on_data_centre_beat(const instance_name& from, const protocol::DataCentreBeat& beat,
+                                        duration delay) {
+    usage_.on_beat(beat, delay, state_.now_with_suspension());
     reset_source(holder_source());
     apply_totals(holder_source(), beat.totals(), reported_to_holder_);
     apply_successes(success_scope::deployment, holder_source(), beat.successes());
@@ -384,6 +396,7 @@
 }
 
 void load_exchange::on_gateway_state(const instance_name& from, const protocol::GatewayState& state) {
+    usage_.on_state(from, state, state_.now_with_suspension());
     reset_source(from);
     apply_work(from, state.work());
     apply_successes(success_scope::gateway, from, state.successes());
@@ -403,6 +416,7 @@
 void load_exchange::on_data_centre_work(const instance_name& from, const protocol::DataCentreWork& work) {
     const data_centre_name data_centre{work.data_centre()};
     const instance_name source = data_centre_source(data_centre);
+    usage_.on_work(work, state_.now_with_suspension());
     reset_source(source);
     apply_work(source, work.work());
     apply_totals(source, work.totals(), reported_to_remote_[data_centre]);
--- a/modules/gateway/order_coordinator.cpp
+++ b/modules/gateway/order_coordinator.cpp
@@ -186,7 +186,7 @@
             succession_.on_peer_listed(
                 {instance_name{gateway.instance()}, start_id{gateway.start()}, gateway.link_mbps()});
         }
-        state_.retries.set_instances(instance_count());
+        state_.set_instances(instance_count());
         std::string& known_start = peer_starts_[gateway.instance()];
         const bool has_started = std::exchange(known_start, gateway.start()) != gateway.start();
         if (is_local_peer && has_started && state_.has_read_records) {
@@ -243,7 +243,7 @@
         const instance_name peer{name.substr(gateway_prefix.size())};
         peers_.on_unregistered(peer);
         succession_.on_peer_unlisted(peer);
-        state_.retries.set_instances(instance_count());
+        state_.set_instances(instance_count());
     }
     if (name == domain_record_name()) {
         const order_domain_record former = succession_.record();
@@ -395,7 +395,7 @@
             exchange_.send_data_centre_work(data_centre, holder);
         }
     }
-    exchange_.expire_silent_peers();
+    exchange_.tick();
 }
 
 asio::awaitable<void> order_coordinator::heartbeat_loop() {
@@ -479,9 +479,9 @@
 }
 
 void order_coordinator::on_data_centre_beat(const instance_name& from, const protocol::DataCentreBeat& beat) {
-    exchange_.on_data_centre_beat(from, beat);
     const duration delay =
         heartbeat_delay_.on_message(time_point{duration{beat.sent_at_ns()}}, succession_time());
+    exchange_.on_data_centre_beat(from, beat, delay);
     std::vector<store_position> positions;
     for (const protocol::StorePosition& entry : beat.positions()) {
         positions.push_back({entry.kind(), entry.revision(), milliseconds{entry.age_ms()} + delay});
--- a/modules/service/include/lovageledge/service/settings_reader.hpp
+++ b/modules/service/include/lovageledge/service/settings_reader.hpp
@@ -51,6 +51,8 @@
 
     /** Adds an error for every field that has not been read. Call it last. */
     void reject_unknown();
+    /** @returns the number of errors so far */
+    std::size_t error_count() const { return errors_.size(); }
     /** Adds an error. @param expected description of a valid value */
     void add_error(const std::string& section, const std::string& key, const std::string& expected);
     /** @returns the text of a field, or nothing if it is missing */
--- a/modules/serving/include/lovageledge/serving/serving.hpp
+++ b/modules/serving/include/lovageledge/serving/serving.hpp
@@ -23,4 +23,5 @@
 #include "lovageledge/serving/unserved_status.hpp"
 #include "lovageledge/serving/usage_cap.hpp"
 #include "lovageledge/serving/usage_caps.hpp"
+#include "lovageledge/serving/usage_totals.hpp"
 #include "lovageledge/serving/version_registry.hpp"
--- a/modules/serving/include/lovageledge/serving/usage_caps.hpp
+++ b/modules/serving/include/lovageledge/serving/usage_caps.hpp
@@ -25,6 +25,11 @@
 
     /** @returns the cost by which the usage of a window may exceed rate x window + burst */
     double allowed_excess(const usage_cap& cap) const;
+    /** @returns how far below zero the level may stay. The rest of the allowed excess is left for what is
+       admitted before all gateways know of a surge. */
+    double spare(const usage_cap& cap) const;
+    /** @returns the time constant with which an account's demand is averaged */
+    duration demand_time(const usage_cap& cap) const;
 };
 
 /** Outcome of a request's check against its account's cap. */
@@ -69,7 +74,9 @@
 
 /** State of an account's cap, for logs and metrics. */
 struct cap_status {
+    /** Sums of this gateway's own requests. */
     std::uint64_t admitted = 0;
+    std::uint64_t returned = 0;
     std::uint64_t refused = 0;
     double level = 0.0;
     double demand = 0.0;
@@ -91,8 +98,6 @@
     /** Without messages of the holder for this long, a gateway is out of contact. The same time decides when
         others count it as not heard. */
     static constexpr duration contact_limit = std::chrono::seconds{1};
-    /** Time constant with which demand is averaged, and for which own demand counts before it is told. */
-    static constexpr duration demand_time = std::chrono::milliseconds{500};
 
     explicit usage_caps(cap_settings settings = {}) : settings_{settings} {}
 
@@ -124,11 +129,17 @@
     std::map<account_name, usage_counters> counters() const;
     /** Records that the present counters are being reported to the holder. */
     void on_reported();
+    /** Notes that a holder counts usage. If it is another than before, it counts what the former one's last
+       level did not include.
+        @param term identifies the run of the holder's counters */
+    void on_term(std::uint64_t term);
     /** Applies what the holder tells. An account that it leaves out has not changed.
-        @param told_at when the holder told it, on this gateway's clock; at most now
-        @param levels as known to the holder, which can include this gateway's last report */
-    void on_told(const std::map<account_name, account_level>& levels, const heard_gateways& gateways,
-                 time_point told_at, time_point now);
+        @param levels as known to the holder; they can include this gateway's last report to it
+        @param told_at when the holder told it, on this gateway's clock; at most now */
+    void on_told(std::uint64_t term, const std::map<account_name, account_level>& levels,
+                 const heard_gateways& gateways, time_point told_at, time_point now);
+    /** @returns the time spent in contact with holders */
+    duration contact_time() const { return contact_time_; }
     /** Sets the number of registered gateways, as known from the store. */
     void set_registered(std::size_t gateways);
     /** @returns true if the holder was heard recently */
@@ -151,16 +162,24 @@
         /** Level as told, before own usage since. */
         account_level told;
         time_point told_at{};
+        /** The holder has told this account's level. */
+        bool is_told = false;
         usage_counters own;
         /** Own net usage and demand at the last report, and as included in the told level. */
         std::uint64_t reported_net = 0;
         std::uint64_t reported_asked = 0;
         std::uint64_t included_net = 0;
         std::uint64_t included_asked = 0;
+        /** Own net usage that the former holder's level included. */
+        std::uint64_t former_net = 0;
         /** Own usage in and out of contact, of the last window. */
         std::deque<spending> recent;
+        bool was_in_contact = false;
+        /** What this gateway may spend in a window out of contact, at least, by its usage before. */
+        double usual_spending = 0.0;
         /** Metrics; unlike own, they include the usage out of contact. */
         std::uint64_t total_admitted = 0;
+        std::uint64_t total_returned = 0;
         std::uint64_t total_refused = 0;
         time_point limited_since{};
         /** Admission probability when the contact was last known to exist. */
@@ -170,6 +189,8 @@
         std::optional<time_point> last_notice;
     };
 
+    /** @returns true if the holder has told the account's level recently */
+    bool is_shared(const account_state& account, time_point now) const;
     double effective_rate(const account_state& account) const;
     double capacity(const account_state& account) const;
     /** @returns the cost per second that may be admitted by all gateways */
@@ -178,6 +199,8 @@
     double demand_of(const account_state& account) const;
     /** @returns the probability with which requests are admitted in contact with the holder */
     double shared_probability(const account_state& account, time_point now) const;
+    /** Takes note of whether the holder is heard. */
+    void note_contact(account_state& account, bool in_contact, time_point now) const;
     /** @returns what is left of this gateway's equal share in the current window */
     double share_left(account_state& account, time_point now) const;
     void record_spending(account_state& account, std::uint64_t cost, time_point now) const;
@@ -190,8 +213,13 @@
     cap_settings settings_;
     refusal_listener on_refusing_;
     std::map<account_name, account_state> accounts_;
-    heard_gateways gateways_;
+    /** Assumed while the registered gateways are not known: the largest deployment, so that the shares of all
+        gateways together stay within the cap. */
+    static constexpr std::size_t max_gateways = 300;
+    heard_gateways gateways_{1, max_gateways};
+    std::uint64_t term_ = 0;
     std::optional<time_point> last_contact_;
+    duration contact_time_{};
     /** When this gateway began to admit requests; its earlier usage is not known. */
     std::optional<time_point> began_at_;
 };
--- a/modules/serving/usage_caps.cpp
+++ b/modules/serving/usage_caps.cpp
@@ -17,6 +17,19 @@
 constexpr double mean_report_lag_s = 0.3;
 /** Seconds' worth of the rate by which a surge may be admitted before all gateways know of it. */
 constexpr double surge_reserve_s = 1.0;
+/** The holder tells each account once a second, of which two messages may be lost. */
+constexpr auto told_lifetime = std::chrono::milliseconds{2500};
+/** Limits of the time constant with which demand is averaged. */
+constexpr double min_demand_time_s = 0.35;
+constexpr double max_demand_time_s = 1.5;
+/** The part of the spare excess that is not used while gateways are not heard, as a multiple of their share.
+ */
+constexpr double unheard_weight = 4.0;
+/** Fraction of the allowed excess that is part of the shares of gateways out of contact. */
+constexpr double isolated_excess = 0.5;
+/** A gateway out of contact may spend this multiple of what it spent in the window before, if the account was
+    within its cap; the requests of a window vary. */
+constexpr double usual_margin = 1.25;
 /** An account that has not refused for this long has stopped refusing. */
 constexpr auto refusing_lifetime = std::chrono::seconds{1};
 
@@ -44,6 +57,18 @@
     return tolerance * (cap.rate_per_second * to_seconds(window) + cap.burst) + slack;
 }
 
+double cap_settings::spare(const usage_cap& cap) const {
+    return std::max(0.0, allowed_excess(cap) - surge_reserve_s * cap.rate_per_second) / 2.0;
+}
+
+duration cap_settings::demand_time(const usage_cap& cap) const {
+    // The larger the allowed excess, the more time there is to find out. A longer time is needed for small
+    // accounts, of which few requests come in a second.
+    const double seconds = cap.is_limited() ? allowed_excess(cap) / cap.rate_per_second / 3.0 : 0.0;
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>{std::clamp(seconds, min_demand_time_s, max_demand_time_s)});
+}
+
 double heard_gateways::share(double tolerance) const {
     const double heard_share =
         static_cast<double>(heard) / static_cast<double>(std::max<std::size_t>(1, registered));
@@ -63,6 +88,7 @@
         const bool is_same_unit =
             known != accounts_.end() && known->second.cap.counted == account.cap.counted;
         account_state state;
+        state.told.level = -settings_.spare(account.cap);
         state.limited_since = now;
         state.told_at = now;
         if (is_same_unit) {
@@ -91,6 +117,10 @@
     return last_contact_ && now - *last_contact_ <= contact_limit;
 }
 
+bool usage_caps::is_shared(const account_state& account, time_point now) const {
+    return account.is_told && is_in_contact(now) && now - account.told_at <= told_lifetime;
+}
+
 // The told level rises with the rate for at most the contact limit after it was told, since what others admit
 // later is not known.
 double usage_caps::level_of(const account_state& account, time_point now) const {
@@ -102,19 +132,19 @@
 
 double usage_caps::demand_of(const account_state& account) const {
     const double unreported = static_cast<double>(account.own.asked - account.included_asked);
-    return account.told.demand + unreported / to_seconds(demand_time);
+    return account.told.demand + unreported / to_seconds(settings_.demand_time(account.cap));
 }
 
 double usage_caps::admissible_rate(const account_state& account, time_point now) const {
     const double rate = effective_rate(account);
     const double level = level_of(account, now);
     const double demand = demand_of(account);
-    // What others have admitted since is not known yet, but follows from the demand.
+    // What others have admitted lately is not reported yet, but follows from the demand.
     const double others = std::min(demand, std::max(0.0, rate + level / relaxation_s));
-    const double present = std::min(level, level + (rate - others) * mean_report_lag_s);
-    const double spare =
-        std::max(0.0, settings_.allowed_excess(account.cap) - surge_reserve_s * account.cap.rate_per_second) /
-        2.0;
+    const double present = level - others * mean_report_lag_s;
+    // What gateways out of contact spend is not known, so the more of them there are, the less is spare.
+    const double share = gateways_.share(settings_.tolerance);
+    const double spare = settings_.spare(account.cap) * std::max(0.0, 1.0 - unheard_weight * (1.0 - share));
     return std::max(0.0, rate + (present + spare) / relaxation_s);
 }
 
@@ -149,13 +179,28 @@
     if (known >= settings_.window) {
         share += account.cap.burst;
     }
+    share += isolated_excess * settings_.allowed_excess(account.cap) *
+             to_seconds(std::min(known, settings_.window)) / to_seconds(settings_.window);
     double left = share / static_cast<double>(std::max<std::size_t>(1, gateways_.registered));
+    left = std::max(left, account.usual_spending);
     for (const spending& spent : account.recent) {
         left -= spent.cost;
     }
     return left;
 }
 
+void usage_caps::note_contact(account_state& account, bool in_contact, time_point now) const {
+    if (in_contact) {
+        account.usual_spending = 0.0;
+    } else if (account.was_in_contact && account.told.demand <= account.cap.rate_per_second) {
+        drop_old_spending(account, now);
+        for (const spending& spent : account.recent) {
+            account.usual_spending += spent.cost * usual_margin;
+        }
+    }
+    account.was_in_contact = in_contact;
+}
+
 cap_decision usage_caps::admit(const account_name& name, std::uint64_t cost, std::uint64_t request_hash,
                                time_point now) {
     const auto found = accounts_.find(name);
@@ -163,8 +208,9 @@
         return {true, {}};
     }
     account_state& account = found->second;
-    const bool in_contact = is_in_contact(now);
+    const bool in_contact = is_shared(account, now);
     account.own.asked += cost;
+    note_contact(account, in_contact, now);
     double probability = 0.0;
     if (in_contact) {
         probability = shared_probability(account, now);
@@ -222,7 +268,7 @@
     }
     // Usage out of contact was not counted, so that it can't be given back to the others.
     account.own.returned += std::min(cost, account.own.net());
-    account.total_admitted -= std::min(cost, account.total_admitted);
+    account.total_returned += cost;
 }
 
 std::map<account_name, usage_cap> usage_caps::caps() const {
@@ -237,7 +283,7 @@
     std::map<account_name, usage_counters> counters;
     for (const auto& [name, account] : accounts_) {
         usage_counters& own = counters.emplace(name, account.own).first->second;
-        own.counted = account.included_net;
+        own.counted = account.former_net;
     }
     return counters;
 }
@@ -249,10 +295,28 @@
     }
 }
 
-void usage_caps::on_told(const std::map<account_name, account_level>& levels, const heard_gateways& gateways,
-                         time_point told_at, time_point now) {
+void usage_caps::on_term(std::uint64_t term) {
+    if (term == term_) {
+        return;
+    }
+    term_ = term;
+    for (auto& [name, account] : accounts_) {
+        account.former_net = account.included_net;
+        // Reports to the former holder that no level has included are not included in the next one's either.
+        account.reported_net = account.included_net;
+        account.reported_asked = account.included_asked;
+    }
+}
+
+void usage_caps::on_told(std::uint64_t term, const std::map<account_name, account_level>& levels,
+                         const heard_gateways& gateways, time_point told_at, time_point now) {
+    on_term(term);
     gateways_ = gateways;
-    last_contact_ = std::min(told_at, now);
+    const time_point contact = std::min(told_at, now);
+    if (last_contact_) {
+        contact_time_ += std::clamp(contact - *last_contact_, duration{}, contact_limit);
+    }
+    last_contact_ = last_contact_ ? std::max(*last_contact_, contact) : contact;
     for (const auto& [name, level] : levels) {
         const auto found = accounts_.find(name);
         if (found == accounts_.end()) {
@@ -260,7 +324,8 @@
         }
         account_state& account = found->second;
         account.told = level;
-        account.told_at = *last_contact_;
+        account.is_told = true;
+        account.told_at = contact;
         account.included_net = account.reported_net;
         account.included_asked = account.reported_asked;
     }
@@ -279,8 +344,8 @@
 }
 
 cap_status usage_caps::status_of(const account_state& account, time_point now) const {
-    return {account.total_admitted, account.total_refused,   level_of(account, now),
-            demand_of(account),     effective_rate(account), is_in_contact(now)};
+    return {account.total_admitted, account.total_returned,  account.total_refused,  level_of(account, now),
+            demand_of(account),     effective_rate(account), is_shared(account, now)};
 }
 
 std::map<account_name, cap_status> usage_caps::status(time_point now) const {
