Usage caps: shares of gateways out of contact follow their usual usage

Cause: equal shares refuse a busy gateway's usual requests; gateways that are not heard use up what others had spare. Change: a gateway out of contact may spend what it usually does if the account was within its cap; the others raise the level's target.

--- a/modules/serving/include/lovageledge/serving/usage_caps.hpp
+++ b/modules/serving/include/lovageledge/serving/usage_caps.hpp
@@ -177,6 +177,9 @@
         bool was_in_contact = false;
         /** What this gateway may spend in a window out of contact, at least, by its usage before. */
         double usual_spending = 0.0;
+        /** What this gateway admits per second, on average while it is in contact. */
+        double usual_rate = 0.0;
+        time_point usual_at{};
         /** Metrics; unlike own, they include the usage out of contact. */
         std::uint64_t total_admitted = 0;
         std::uint64_t total_returned = 0;
@@ -201,6 +204,7 @@
     double shared_probability(const account_state& account, time_point now) const;
     /** Takes note of whether the holder is heard. */
     void note_contact(account_state& account, bool in_contact, time_point now) const;
+    static void average_usage(account_state& account, std::uint64_t cost, time_point now);
     /** @returns what is left of this gateway's equal share in the current window */
     double share_left(account_state& account, time_point now) const;
     void record_spending(account_state& account, std::uint64_t cost, time_point now) const;
--- a/modules/serving/usage_caps.cpp
+++ b/modules/serving/usage_caps.cpp
@@ -25,11 +25,17 @@
 /** The part of the spare excess that is not used while gateways are not heard, as a multiple of their share.
  */
 constexpr double unheard_weight = 4.0;
-/** Fraction of the allowed excess that is part of the shares of gateways out of contact. */
-constexpr double isolated_excess = 0.5;
+/** Seconds' worth of the unheard gateways' share by which the level's target is raised while they are not heard. */
+constexpr double unheard_reserve_s = 1.0;
+/** Multiple of the spare excess that is part of the shares of gateways out of contact. */
+constexpr double isolated_excess = 1.3;
 /** A gateway out of contact may spend this multiple of what it spent in the window before, if the account was
     within its cap; the requests of a window vary. */
-constexpr double usual_margin = 1.25;
+constexpr double usual_margin = 1.2;
+/** Time constant with which a gateway's own usage is averaged, in which it has a few requests also of small accounts. */
+constexpr double usual_time_s = 30.0;
+/** Least part of an average that must be known before it is scaled up to the whole. */
+constexpr double min_known = 0.2;
 /** An account that has not refused for this long has stopped refusing. */
 constexpr auto refusing_lifetime = std::chrono::seconds{1};
 
@@ -110,7 +116,7 @@
 }
 
 double usage_caps::capacity(const account_state& account) const {
-    return account.cap.burst * gateways_.share(settings_.tolerance);
+    return account.cap.burst * gateways_.share(0.0);
 }
 
 bool usage_caps::is_in_contact(time_point now) const {
@@ -142,9 +148,10 @@
     // What others have admitted lately is not reported yet, but follows from the demand.
     const double others = std::min(demand, std::max(0.0, rate + level / relaxation_s));
     const double present = level - others * mean_report_lag_s;
-    // What gateways out of contact spend is not known, so the more of them there are, the less is spare.
-    const double share = gateways_.share(settings_.tolerance);
-    const double spare = settings_.spare(account.cap) * std::max(0.0, 1.0 - unheard_weight * (1.0 - share));
+    // What gateways out of contact spend is not known, so the more of them there are, the higher is the target.
+    const double unheard = 1.0 - gateways_.share(settings_.tolerance);
+    const double spare = settings_.spare(account.cap) * std::max(0.0, 1.0 - unheard_weight * unheard) -
+                         unheard * unheard_reserve_s * account.cap.rate_per_second;
     return std::max(0.0, rate + (present + spare) / relaxation_s);
 }
 
@@ -179,8 +186,8 @@
     if (known >= settings_.window) {
         share += account.cap.burst;
     }
-    share += isolated_excess * settings_.allowed_excess(account.cap) *
-             to_seconds(std::min(known, settings_.window)) / to_seconds(settings_.window);
+    share += isolated_excess * settings_.spare(account.cap) *
+             (to_seconds(std::min(known, settings_.window)) / to_seconds(settings_.window));
     double left = share / static_cast<double>(std::max<std::size_t>(1, gateways_.registered));
     left = std::max(left, account.usual_spending);
     for (const spending& spent : account.recent) {
@@ -190,15 +197,24 @@
 }
 
 void usage_caps::note_contact(account_state& account, bool in_contact, time_point now) const {
+    const bool has_ended = account.was_in_contact && !in_contact;
+    account.was_in_contact = in_contact;
     if (in_contact) {
         account.usual_spending = 0.0;
-    } else if (account.was_in_contact && account.told.demand <= account.cap.rate_per_second) {
-        drop_old_spending(account, now);
-        for (const spending& spent : account.recent) {
-            account.usual_spending += spent.cost * usual_margin;
-        }
+    } else if (has_ended && account.told.demand <= account.cap.rate_per_second) {
+        // The average begins at zero, when the cap was adopted.
+        const double known = 1.0 - std::exp(-to_seconds(now - account.limited_since) / usual_time_s);
+        const double age = to_seconds(now - account.usual_at);
+        account.usual_spending = account.usual_rate * std::exp(-age / usual_time_s) /
+                                 std::max(known, min_known) * to_seconds(settings_.window) * usual_margin;
     }
-    account.was_in_contact = in_contact;
+}
+
+void usage_caps::average_usage(account_state& account, std::uint64_t cost, time_point now) {
+    const double elapsed = to_seconds(now - account.usual_at);
+    account.usual_rate = account.usual_rate * std::exp(-elapsed / usual_time_s) +
+                         static_cast<double>(cost) / usual_time_s;
+    account.usual_at = now;
 }
 
 cap_decision usage_caps::admit(const account_name& name, std::uint64_t cost, std::uint64_t request_hash,
@@ -227,6 +243,9 @@
         account.own.admitted += in_contact ? cost : 0;
         account.total_admitted += cost;
         record_spending(account, cost, now);
+        if (in_contact) {
+            average_usage(account, cost, now);
+        }
         return {true, {}};
     }
     account.total_refused += cost;
--- a/modules/serving/usage_totals.cpp
+++ b/modules/serving/usage_totals.cpp
@@ -172,7 +172,7 @@
     for (auto& [name, level] : levels_) {
         const usage_cap& cap = caps_.at(name);
         level.level =
-            std::min(level.level + cap.rate_per_second * share * to_seconds(elapsed), cap.burst * share);
+            std::min(level.level + cap.rate_per_second * share * to_seconds(elapsed), cap.burst * gateways_.share(0.0));
         level.demand = 0.0;
     }
     add_demand(local_, now);
