--- a/modules/gateway/gateway_settings_test.cpp
+++ b/modules/gateway/gateway_settings_test.cpp
@@ -30,6 +30,8 @@
     CPPUNIT_TEST(reads_the_limits_of_order_holders);
     CPPUNIT_TEST(reports_a_flag_that_is_neither_true_nor_false);
     CPPUNIT_TEST(reads_the_memory_of_the_process);
+    CPPUNIT_TEST(reads_the_accounting_of_usage_caps);
+    CPPUNIT_TEST(reports_line_and_field_of_an_invalid_accounting_of_usage_caps);
     CPPUNIT_TEST_SUITE_END();
 
     std::vector<std::string> errors_;
@@ -58,6 +60,29 @@
         CPPUNIT_ASSERT(errors_.front().rfind("line 18, [limits] memory_mb", 0) == 0);
     }
 
+    void reads_the_accounting_of_usage_caps() {
+        const auto defaults = parse_gateway_settings(valid_settings, errors_);
+        CPPUNIT_ASSERT(defaults);
+        CPPUNIT_ASSERT(defaults->caps.window == std::chrono::seconds{8});
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0, defaults->caps.slack, 1e-9);
+        const auto settings = parse_gateway_settings(
+            valid_settings + "[caps]\nwindow_s = 8.5\ntolerance = 0.2\nslack = 110000\n", errors_);
+        CPPUNIT_ASSERT(settings);
+        CPPUNIT_ASSERT(settings->caps.window == std::chrono::milliseconds{8500});
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.2, settings->caps.tolerance, 1e-9);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(110'000.0, settings->caps.slack, 1e-9);
+    }
+
+    void reports_line_and_field_of_an_invalid_accounting_of_usage_caps() {
+        for (const std::string line : {"window_s = 0", "window_s = nan", "tolerance = -0.1",
+                                       "tolerance = 1.5", "slack = many", "slack = 1e30"}) {
+            CPPUNIT_ASSERT(!parse_gateway_settings(valid_settings + "[caps]\n" + line + "\n", errors_));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(line, std::size_t{1}, errors_.size());
+            const std::string expected = "line 18, [caps] " + line.substr(0, line.find(' '));
+            CPPUNIT_ASSERT_MESSAGE(errors_.front(), errors_.front().rfind(expected, 0) == 0);
+        }
+    }
+
     void rejects_unknown_fields() {
         CPPUNIT_ASSERT(!parse_gateway_settings(valid_settings + "[policy]\nspeed = 1\n", errors_));
     }
--- a/modules/serving/include/lovageledge/serving/usage_caps.hpp
+++ b/modules/serving/include/lovageledge/serving/usage_caps.hpp
@@ -174,6 +174,9 @@
         std::uint64_t former_net = 0;
         /** Own usage in and out of contact, of the last window. */
         std::deque<spending> recent;
+        /** Cost that was lately admitted out of contact, and when that was last done. */
+        std::uint64_t isolated_cost = 0;
+        time_point isolated_at{};
         bool was_in_contact = false;
         /** What this gateway may spend in a window out of contact, at least, by its usage before. */
         double usual_spending = 0.0;
--- a/modules/serving/include/lovageledge/serving/usage_totals.hpp
+++ b/modules/serving/include/lovageledge/serving/usage_totals.hpp
@@ -83,6 +83,8 @@
 
     /** @param known the source, or nullptr if it is new @returns false if the report is late or repeated */
     static bool is_newer(const source* known, const usage_report& report);
+    /** @returns the part of a source's usage that counts after a time for which nothing was known of it */
+    double counted_part(duration unknown_for) const;
     template <class Name>
     void apply(std::map<Name, source>& sources, const Name& name, const usage_report& report, bool is_local,
                time_point now);
--- a/modules/serving/usage_caps.cpp
+++ b/modules/serving/usage_caps.cpp
@@ -17,6 +17,9 @@
 constexpr double mean_report_lag_s = 0.3;
 /** Seconds' worth of the rate by which a surge may be admitted before all gateways know of it. */
 constexpr double surge_reserve_s = 1.0;
+/** Fraction of the remaining allowed excess by which the level's target lies below zero. The rest covers the
+   deviation of small accounts, of which single requests are as large as a second's worth. */
+constexpr double spare_fraction = 0.65;
 /** The holder tells each account once a second, of which two messages may be lost. */
 constexpr auto told_lifetime = std::chrono::milliseconds{2500};
 /** Limits of the time constant with which demand is averaged. */
@@ -25,17 +28,23 @@
 /** The part of the spare excess that is not used while gateways are not heard, as a multiple of their share.
  */
 constexpr double unheard_weight = 4.0;
-/** Seconds' worth of the unheard gateways' share by which the level's target is raised while they are not heard. */
-constexpr double unheard_reserve_s = 1.0;
+/** Seconds' worth of the unheard gateways' share by which the level's target is raised while they are not
+ * heard. */
+constexpr double unheard_reserve_s = 3.0;
+/** Most of that, as a fraction of the bucket's capacity. */
+constexpr double max_unheard_reserve = 0.7;
 /** Multiple of the spare excess that is part of the shares of gateways out of contact. */
-constexpr double isolated_excess = 1.3;
+constexpr double isolated_excess = 1.05;
 /** A gateway out of contact may spend this multiple of what it spent in the window before, if the account was
     within its cap; the requests of a window vary. */
-constexpr double usual_margin = 1.2;
-/** Time constant with which a gateway's own usage is averaged, in which it has a few requests also of small accounts. */
+constexpr double usual_margin = 1.35;
+/** Time constant with which a gateway's own usage is averaged, in which it has a few requests also of small
+ * accounts. */
 constexpr double usual_time_s = 30.0;
 /** Least part of an average that must be known before it is scaled up to the whole. */
 constexpr double min_known = 0.2;
+/** Requests that were admitted out of contact may be given back for this long. */
+constexpr auto isolated_memory = std::chrono::seconds{30};
 /** An account that has not refused for this long has stopped refusing. */
 constexpr auto refusing_lifetime = std::chrono::seconds{1};
 
@@ -64,7 +73,7 @@
 }
 
 double cap_settings::spare(const usage_cap& cap) const {
-    return std::max(0.0, allowed_excess(cap) - surge_reserve_s * cap.rate_per_second) / 2.0;
+    return std::max(0.0, allowed_excess(cap) - surge_reserve_s * cap.rate_per_second) * spare_fraction;
 }
 
 duration cap_settings::demand_time(const usage_cap& cap) const {
@@ -148,10 +157,13 @@
     // What others have admitted lately is not reported yet, but follows from the demand.
     const double others = std::min(demand, std::max(0.0, rate + level / relaxation_s));
     const double present = level - others * mean_report_lag_s;
-    // What gateways out of contact spend is not known, so the more of them there are, the higher is the target.
+    // What gateways out of contact spend is not known, so the more of them there are, the higher is the
+    // target.
     const double unheard = 1.0 - gateways_.share(settings_.tolerance);
-    const double spare = settings_.spare(account.cap) * std::max(0.0, 1.0 - unheard_weight * unheard) -
-                         unheard * unheard_reserve_s * account.cap.rate_per_second;
+    const double reserve = std::min(unheard * unheard_reserve_s * account.cap.rate_per_second,
+                                    capacity(account) * max_unheard_reserve);
+    const double spare =
+        settings_.spare(account.cap) * std::max(0.0, 1.0 - unheard_weight * unheard) - reserve;
     return std::max(0.0, rate + (present + spare) / relaxation_s);
 }
 
@@ -212,8 +224,8 @@
 
 void usage_caps::average_usage(account_state& account, std::uint64_t cost, time_point now) {
     const double elapsed = to_seconds(now - account.usual_at);
-    account.usual_rate = account.usual_rate * std::exp(-elapsed / usual_time_s) +
-                         static_cast<double>(cost) / usual_time_s;
+    account.usual_rate =
+        account.usual_rate * std::exp(-elapsed / usual_time_s) + static_cast<double>(cost) / usual_time_s;
     account.usual_at = now;
 }
 
@@ -245,6 +257,10 @@
         record_spending(account, cost, now);
         if (in_contact) {
             average_usage(account, cost, now);
+        } else {
+            const bool is_remembered = now - account.isolated_at <= isolated_memory;
+            account.isolated_cost = (is_remembered ? account.isolated_cost : 0) + cost;
+            account.isolated_at = now;
         }
         return {true, {}};
     }
@@ -285,8 +301,12 @@
         spent->cost -= part;
         rest -= part;
     }
-    // Usage out of contact was not counted, so that it can't be given back to the others.
-    account.own.returned += std::min(cost, account.own.net());
+    // Usage out of contact was not reported, so it can't be given back to the others. It is not known here
+    // when the request was admitted.
+    const bool is_remembered = now - account.isolated_at <= isolated_memory;
+    const std::uint64_t isolated = is_remembered ? std::min(cost, account.isolated_cost) : 0;
+    account.isolated_cost -= isolated;
+    account.own.returned += std::min(cost - isolated, account.own.net());
     account.total_returned += cost;
 }
 
--- a/modules/serving/usage_totals.cpp
+++ b/modules/serving/usage_totals.cpp
@@ -57,6 +57,17 @@
                                         : report.start != known->former_start;
 }
 
+double usage_totals::counted_part(duration unknown_for) const {
+    // The share that was reserved while the source was not heard covers its usage in that time. The usage
+    // before that is in no present window any more if the time was longer than a window.
+    if (unknown_for > settings_.window) {
+        return 0.0;
+    }
+    return unknown_for > usage_caps::contact_limit
+               ? to_seconds(usage_caps::contact_limit) / to_seconds(unknown_for)
+               : 1.0;
+}
+
 template <class Name>
 void usage_totals::apply(std::map<Name, source>& sources, const Name& name, const usage_report& report,
                          bool is_local, time_point now) {
@@ -73,11 +84,7 @@
         from.counted_for = duration{};
         from.last.clear();
     }
-    // The share that was reserved while the source was not heard covers its usage in that time.
-    const duration unknown_for = std::min(gap, report.counted_for - from.counted_for);
-    const double weight = unknown_for > usage_caps::contact_limit
-                              ? to_seconds(usage_caps::contact_limit) / to_seconds(unknown_for)
-                              : 1.0;
+    const double weight = counted_part(std::min(gap, report.counted_for - from.counted_for));
     std::map<account_name, double> asked_now;
     for (const auto& [account, counters] : report.accounts) {
         const auto last = from.last.find(account);
@@ -171,8 +178,8 @@
     const double share = gateways_.share(settings_.tolerance);
     for (auto& [name, level] : levels_) {
         const usage_cap& cap = caps_.at(name);
-        level.level =
-            std::min(level.level + cap.rate_per_second * share * to_seconds(elapsed), cap.burst * gateways_.share(0.0));
+        level.level = std::min(level.level + cap.rate_per_second * share * to_seconds(elapsed),
+                               cap.burst * gateways_.share(0.0));
         level.demand = 0.0;
     }
     add_demand(local_, now);
