Names of the log events of usage caps

Cause: decision_log.cpp has the name of each event, and did not know 410 and 411; events_test failed. Change: the two names. Conclusion: log lines of the two events have their names.

--- a/modules/service/decision_log.cpp
+++ b/modules/service/decision_log.cpp
@@ -51,6 +51,10 @@
         return "request_cancelled";
     case event::message_given_up:
         return "message_given_up";
+    case event::usage_cap_reached:
+        return "usage_cap_reached";
+    case event::usage_cap_relieved:
+        return "usage_cap_relieved";
     case event::adapter_load_ordered:
         return "adapter_load_ordered";
     case event::adapter_load_failed:
