--- a/modules/gateway/gateway_settings_test.cpp
+++ b/modules/gateway/gateway_settings_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(reads_the_limits_of_order_holders);
     CPPUNIT_TEST(reports_a_flag_that_is_neither_true_nor_false);
     CPPUNIT_TEST(reads_the_memory_of_the_process);
+    CPPUNIT_TEST(reads_the_limit_of_strict_revocation);
     CPPUNIT_TEST_SUITE_END();
 
     std::vector<std::string> errors_;
@@ -79,6 +80,19 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(10.0, settings->link_mbps, 1e-9);
     }
 
+    void reads_the_limit_of_strict_revocation() {
+        const auto usual = parse_gateway_settings(valid_settings, errors_);
+        CPPUNIT_ASSERT(usual && !usual->is_revocation_strict);
+        CPPUNIT_ASSERT(usual->revocation_limit == std::chrono::seconds{5});
+        const auto strict = parse_gateway_settings(
+            settings_with_bounds("revocation_strict = true\nrevocation_limit_ms = 2000\n"), errors_);
+        CPPUNIT_ASSERT(strict && strict->is_revocation_strict);
+        // The configuration must be read more often than the keys become too old.
+        CPPUNIT_ASSERT(strict->configuration_reading_limit() == std::chrono::seconds{2});
+        CPPUNIT_ASSERT(!parse_gateway_settings(settings_with_bounds("revocation_limit_ms = 0\n"), errors_));
+        CPPUNIT_ASSERT(errors_.front().rfind("line 12, [bounds] revocation_limit_ms", 0) == 0);
+    }
+
     void reports_a_flag_that_is_neither_true_nor_false() {
         CPPUNIT_ASSERT(
             !parse_gateway_settings(settings_with_bounds("servers_check_fences = yes\n"), errors_));
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -87,6 +87,8 @@
     CPPUNIT_TEST(servers_that_send_bytes_without_end_have_not_crashed);
     CPPUNIT_TEST(deadline_holds_while_the_server_keeps_sending);
     CPPUNIT_TEST(refusal_with_a_body_without_end_does_not_hold_the_request);
+    CPPUNIT_TEST(cost_of_a_request_that_did_not_run_is_given_back);
+    CPPUNIT_TEST(cost_of_a_request_that_may_have_run_is_kept);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* plain_path = "/plain/";
@@ -401,6 +403,67 @@
         CPPUNIT_ASSERT(std::chrono::steady_clock::now() - began < milliseconds{1500});
     }
 
+    /** Starts a gateway with an account that may spend the cost of one request in a window. */
+    void start_with_cap(const scripted_server& server) {
+        start({&server});
+        gateway_->stop();
+        gateway_state& state = gateway_->state;
+        traffic_configuration configuration;
+        configuration.version = 2;
+        configuration.routes = {gateway_under_test::make_route(plain_path, request_kind::unsafe)};
+        configuration.services = state.routes->services();
+        account_entry entry;
+        entry.account.name = account_name{"first"};
+        entry.account.cap.rate_per_second = 0.001;
+        entry.account.cap.burst = 1.0;
+        entry.keys = {key_digest{"key"}};
+        configuration.accounts = client_accounts{{entry}};
+        state.routes = std::make_shared<const route_table>(std::move(configuration));
+        // The burst belongs to a window that has passed completely.
+        state.caps.set_registered(1);
+        state.caps.set_accounts(state.routes->accounts().all(),
+                                state.now_with_suspension() - std::chrono::seconds{20});
+        gateway_->context.restart();
+        gateway_->run();
+    }
+
+    std::string request_with_key(const std::string& id) {
+        blocking_connection caller = connect_to(caller_context_, gateway_->callers.port());
+        std::string message = make_request(plain_path, id, 3000, false);
+        message.insert(message.find("X-Model"), "Authorization: Bearer key\r\n");
+        caller.write(message);
+        return caller.read_all();
+    }
+
+    void cost_of_a_request_that_did_not_run_is_given_back() {
+        std::atomic<int> received{0};
+        const scripted_server server{[&](blocking_connection& connection, int) {
+            for (std::string head; !(head = connection.read_message()).empty();) {
+                const std::string id = id_of(head);
+                connection.write(++received == 1
+                                     ? response("503 Full", id_header(id) + "X-Not-Executed: 1\r\n", "")
+                                     : response("200 OK", run_headers(id), "ran"));
+            }
+        }};
+        start_with_cap(server);
+        CPPUNIT_ASSERT(has_status(request_with_key("1"), 503));
+        CPPUNIT_ASSERT_EQUAL(1, received.load());
+        CPPUNIT_ASSERT(has_status(request_with_key("2"), 200));
+        const std::string capped = request_with_key("3");
+        CPPUNIT_ASSERT_MESSAGE(capped, has_status(capped, 429));
+        CPPUNIT_ASSERT_MESSAGE(capped, capped.find("Retry-After: ") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(2, received.load());
+    }
+
+    void cost_of_a_request_that_may_have_run_is_kept() {
+        std::atomic<int> runs{0};
+        const scripted_server server{crashing(runs)};
+        start_with_cap(server);
+        CPPUNIT_ASSERT(has_status(request_with_key("1"), 502));
+        CPPUNIT_ASSERT(has_status(request_with_key("2"), 429));
+        CPPUNIT_ASSERT_EQUAL(1, runs.load());
+    }
+
     void success_without_the_servers_digest_is_not_passed_on() {
         scripted_server server{[&](blocking_connection& connection, int) {
             connection.read_message();
--- a/tests/gateway/store_update_test.cpp
+++ b/tests/gateway/store_update_test.cpp
@@ -16,6 +16,7 @@
 class store_update_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(store_update_test);
     CPPUNIT_TEST(relayed_configuration_is_adopted_while_a_watch_is_stuck);
+    CPPUNIT_TEST(holders_reading_confirms_the_configuration_that_it_includes);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint16_t caller_port = 20931;
@@ -53,7 +54,11 @@
         return std::stoi(caller.read_all().substr(9, 3));
     }
 
-    void relayed_configuration_is_adopted_while_a_watch_is_stuck() {
+    using gateway_check = std::function<void(asio::io_context& context, const platform_port& port)>;
+
+    /** Runs a check beside a gateway that has listed all kinds of objects, and whose watches get no response.
+     */
+    static void run_beside_stuck_watches(const gateway_check& check) {
         std::atomic<int> stuck_watches{0};
         scripted_server store{[&](blocking_connection& connection, int) {
             for (std::string request; !(request = connection.read_message()).empty();) {
@@ -81,17 +86,53 @@
         for (int i = 0; i < 200 && stuck_watches < 4; ++i) {
             std::this_thread::sleep_for(milliseconds{10});
         }
-        platform::stored_object change;
-        change.name = "main";
-        change.revision = 9;
-        change.spec = configuration(2, {"/old/", "/new/"});
-        asio::post(context, [&] { port.store.apply({"config", 5, 9, platform::encode_changes({change})}); });
-        std::this_thread::sleep_for(milliseconds{100});
-        const int status = status_of("/new/x");
+        check(context, port);
         context.stop();
         thread.join();
+    }
+
+    void relayed_configuration_is_adopted_while_a_watch_is_stuck() {
+        int status = 0;
+        run_beside_stuck_watches([&](asio::io_context& context, const platform_port& port) {
+            platform::stored_object change;
+            change.name = "main";
+            change.revision = 9;
+            change.spec = configuration(2, {"/old/", "/new/"});
+            asio::post(context, [&] {
+                port.store.apply({"config", 5, 9, platform::encode_changes({change})});
+            });
+            std::this_thread::sleep_for(milliseconds{100});
+            status = status_of("/new/x");
+        });
         CPPUNIT_ASSERT_EQUAL(503, status);
     }
+
+    // With strict revocation, requests were refused while the gateway relied on the holder's reading.
+    void holders_reading_confirms_the_configuration_that_it_includes() {
+        std::optional<duration> before;
+        std::optional<duration> after_unknown_revision;
+        std::optional<duration> after_known_revision;
+        run_beside_stuck_watches([&](asio::io_context& context, const platform_port& port) {
+            std::this_thread::sleep_for(milliseconds{300});
+            std::atomic<bool> is_done{false};
+            asio::post(context, [&] {
+                before = port.store.configuration_age();
+                port.store.on_holder_positions({{"config", 9, milliseconds{20}}});
+                after_unknown_revision = port.store.configuration_age();
+                port.store.on_holder_positions({{"config", 5, milliseconds{20}}});
+                port.store.on_holder_changed();
+                after_known_revision = port.store.configuration_age();
+                is_done = true;
+            });
+            while (!is_done) {
+                std::this_thread::sleep_for(milliseconds{1});
+            }
+        });
+        CPPUNIT_ASSERT(before && *before >= milliseconds{300});
+        CPPUNIT_ASSERT(after_unknown_revision >= before);
+        CPPUNIT_ASSERT(after_known_revision >= milliseconds{20});
+        CPPUNIT_ASSERT(after_known_revision < before);
+    }
 };
 
 } // namespace
