--- a/modules/serving/request_admission_test.cpp
+++ b/modules/serving/request_admission_test.cpp
@@ -27,9 +27,16 @@
 
     const time_point now_{std::chrono::hours{1}};
     crash_registry crashes_{3};
-    usage_caps caps_;
+    usage_caps caps_{exact_caps()};
     request_admission admission_{crashes_, caps_};
 
+    /** Without tolerance, a gateway alone can spend exactly what the cap allows in a window. */
+    static cap_settings exact_caps() {
+        cap_settings settings;
+        settings.tolerance = 0.0;
+        return settings;
+    }
+
     static route_rule make_route(const std::string& prefix, bool is_public) {
         route_rule route;
         route.name = prefix;
@@ -117,7 +124,7 @@
         }
         for (const std::string& key :
              {std::string{}, std::string{"key"}, std::string{"KEY-1"}, std::string{"key-1 "},
-              std::string(16 * 1024, 'k'), std::string{"key-1\0", 6}}) {
+              std::string(16384, 'k'), std::string{"key-1\0", 6}}) {
             const auto decision = admission_.decide(&table, make_request(key), at(now_));
             CPPUNIT_ASSERT_EQUAL_MESSAGE(key, 401U, status_of(decision));
             CPPUNIT_ASSERT(decision.refusal->cause == refusal_cause::credentials);
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -405,7 +405,9 @@
 
     /** Starts a gateway with an account that may spend the cost of one request in a window. */
     void start_with_cap(const scripted_server& server) {
-        start({&server});
+        gateway_settings exact = settings();
+        exact.caps.tolerance = 0.0;
+        start({&server}, exact);
         gateway_->stop();
         gateway_state& state = gateway_->state;
         traffic_configuration configuration;
