The allocator returns large blocks to the system

Cause: freeing one large block raises the allocator's threshold for mapped blocks up to 32 MB, so that the memory of former bodies stays in the heap. Change: the thresholds for mapping and trimming are fixed, and there is one arena. Conclusion: what the budget releases leaves the process.

--- a/programs/gateway/main.cpp
+++ b/programs/gateway/main.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <malloc.h>
 #include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
@@ -115,6 +116,16 @@
     }
 }
 
+/** Lets the allocator return large blocks to the system when they are freed. By default, freeing one raises
+    the threshold up to 32 MB, and the memory of former bodies stays with the process. */
+void bound_allocator() {
+    constexpr int mapped_bytes = 64 * 1024;
+    constexpr int kept_bytes = 256 * 1024;
+    ::mallopt(M_MMAP_THRESHOLD, mapped_bytes);
+    ::mallopt(M_TRIM_THRESHOLD, kept_bytes);
+    ::mallopt(M_ARENA_MAX, 1);
+}
+
 int run(lovageledge::gateway_settings settings, const std::string& path) {
     start_logging(settings.log_level);
     boost::asio::io_context context{1};
@@ -156,6 +167,7 @@
 } // namespace
 
 int main(int argc, char** argv) {
+    bound_allocator();
     CLI::App app{"lovageledge gateway: passes callers' requests to the backend servers of a platform"};
     const char* variable = std::getenv(lovageledge::platform::wire::settings_path_variable);
     std::string path = variable == nullptr ? "" : variable;
