--- a/modules/service/decision_log.cpp
+++ b/modules/service/decision_log.cpp
@@ -55,6 +55,8 @@
         return "request_cancelled";
     case event::message_given_up:
         return "message_given_up";
+    case event::connections_closed:
+        return "connections_closed";
     case event::usage_cap_reached:
         return "usage_cap_reached";
     case event::usage_cap_relieved:
