Comments of http_limits follow the new rules

Cause: two comments described the former rule for a further connection and a function that does not exist. Change: they name caller_connections and the rate.

--- a/modules/transport/include/lovageledge/transport/http_server.hpp
+++ b/modules/transport/include/lovageledge/transport/http_server.hpp
@@ -20,15 +20,15 @@
     std::uint32_t header_bytes = 16 * 1024;
     /** Maximum size of a request body; longer ones are refused with status 413. */
     std::uint64_t body_bytes = std::uint64_t{1024} * 1024;
-    /** Maximum number of open connections. A further one takes the place of the longest idle one; if none is
-        idle, it is closed as soon as it is accepted. */
+    /** Maximum number of open connections. A further one takes the place of the one that caller_connections
+        chooses; if there is none, it is closed as soon as it is accepted. */
     std::uint32_t connections = 4096;
     /** Time in which a caller must send a complete request; after it, status 408 is returned. */
     duration request_timeout = std::chrono::seconds{10};
     /** Time for which a connection may stay open without a request. */
     duration idle_timeout = std::chrono::seconds{75};
-    /** Time in which a caller must accept each part of a response. For parts above a few hundred KB it is
-        longer, see response_timeout() of http_exchange. */
+    /** Time in which a caller must accept each part of a response, extended by the part's size at 400 KB/s.
+     */
     duration write_timeout = std::chrono::seconds{30};
     /** Fraction of the connections and the memory that one IP address may take while others are connected. */
     double address_share = 1.0;
