Requests for engines can wait at the gateway until there is room

Cause: an engine queues up to three times as many requests as it runs, in an order that can't be changed any more, so that important requests wait behind others until their deadline. Change: engine_room bounds what all gateways send to an engine (prompts not yet prefilled, slots, memory), waiting_requests orders what waits, request_placement decides, and request_scheduler lets the request wait. Gateways report committed and wanted tokens for each server. The setting [waiting] bounded turns it on. Conclusion: with the setting off, the choice of a server is as before.

--- a/modules/base/include/lovageledge/base/event_log.hpp
+++ b/modules/base/include/lovageledge/base/event_log.hpp
@@ -31,6 +31,7 @@
     request_duplicate = 405,
     request_cancelled = 406,
     message_given_up = 407,
+    requests_waiting = 408,
     adapter_load_ordered = 500,
     adapter_load_failed = 501,
     adapter_evict_ordered = 502,
--- a/modules/gateway/include/lovageledge/gateway/gateway_settings.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway_settings.hpp
@@ -37,6 +37,8 @@
     succession_settings succession;
     /** Bandwidth of this instance's network link, in Mbit/s; 0 if unknown. */
     double link_mbps = 0.0;
+    /** The number of requests sent to each engine is bounded; further ones wait at the gateway. */
+    bool is_waiting_bounded = false;
     /** Interval of the heartbeats to the gateways of the same data centre. */
     duration state_interval = std::chrono::milliseconds{150};
     /** Longest wait for an adapter to load before another server is considered. */
--- a/modules/gateway/include/lovageledge/gateway/gateway_state.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lovageledge/gateway/gateway_settings.hpp"
+#include "lovageledge/gateway/request_scheduler.hpp"
 #include "lovageledge/gateway/wire_codec.hpp"
 #include "lovageledge/service/decision_log.hpp"
 #include "lovageledge/service/metrics.hpp"
@@ -41,6 +42,8 @@
     std::shared_ptr<const route_table> routes;
     version_registry versions;
     server_selector selector;
+    /** Requests that wait for room on an engine. */
+    request_scheduler scheduler{*this};
     retry_budget retries;
     demand_meter demand;
     /** Requests that crash the servers that run them. */
--- a/modules/gateway/include/lovageledge/gateway/request_handler.hpp
+++ b/modules/gateway/include/lovageledge/gateway/request_handler.hpp
@@ -66,6 +66,11 @@
     bool resolve_route();
     asio::awaitable<void> run_attempts();
     asio::awaitable<std::optional<server_choice>> select_server();
+    /** Picks a server; a request for an engine waits until there is room, if the settings bound that.
+        @returns nothing if no server can run it, or if it is refused and last_error_ and retry_after_ are set
+     */
+    asio::awaitable<placement> find_place();
+    placement_terms make_placement_terms() const;
     /** Waits until a server's pause ends, if all servers have asked for one and the wait is short enough.
         @returns false if the request must be refused; last_error_ and retry_after_ are set then */
     asio::awaitable<bool> wait_for_pause_end();
--- a/modules/gateway/load_exchange.cpp
+++ b/modules/gateway/load_exchange.cpp
@@ -22,9 +22,31 @@
     work.streaming = message.streaming();
     work.pending_tokens = message.pending_tokens();
     work.avoided_by = message.avoided_by();
+    work.committed_tokens = message.committed_tokens();
+    for (int rank = 0; rank < std::min<int>(waiting_ranks, message.wanted_tokens_size()); ++rank) {
+        work.wanted_tokens[static_cast<std::size_t>(rank)] = message.wanted_tokens(rank);
+    }
     return work;
 }
 
+/** Fills in the tokens that wait for room; nothing if there are none. @returns true if there are some */
+template <class Message>
+bool set_wanted_tokens(const tokens_by_rank& tokens, Message& message) {
+    const bool has_some =
+        std::any_of(tokens.begin(), tokens.end(), [](std::uint64_t count) { return count > 0; });
+    if (has_some) {
+        message.mutable_wanted_tokens()->Add(tokens.begin(), tokens.end());
+    }
+    return has_some;
+}
+
+/** Adds tokens rank by rank. */
+void add_tokens(tokens_by_rank& sum, const tokens_by_rank& tokens) {
+    for (std::size_t rank = 0; rank < waiting_ranks; ++rank) {
+        sum[rank] += tokens[rank];
+    }
+}
+
 /** Source under which another data centre's work is stored, independent of which gateway is its holder. */
 instance_name data_centre_source(const data_centre_name& data_centre) {
     return instance_name{"data-centre " + data_centre.text()};
@@ -80,6 +102,8 @@
     std::uint32_t streaming = server.streaming;
     std::uint32_t avoided_by = server.is_avoided(state_.now()) ? 1 : 0;
     std::uint64_t pending_tokens = server.pending_tokens;
+    std::uint64_t committed_tokens = server.committed_tokens;
+    tokens_by_rank wanted_tokens = state_.scheduler.wanted_tokens(server.listing.name);
     std::set<adapter_ref> in_use;
     for (const auto& [ref, count] : server.adapters_in_use) {
         in_use.insert(ref);
@@ -94,6 +118,8 @@
             streaming += reported.streaming;
             avoided_by += reported.avoided_by;
             pending_tokens += reported.pending_tokens;
+            committed_tokens += reported.committed_tokens;
+            add_tokens(wanted_tokens, reported.wanted_tokens);
             in_use.insert(reported.in_use.begin(), reported.in_use.end());
         }
     }
@@ -102,10 +128,12 @@
     work.set_streaming(streaming);
     work.set_avoided_by(avoided_by);
     work.set_pending_tokens(pending_tokens);
+    work.set_committed_tokens(committed_tokens);
+    const bool is_wanted = set_wanted_tokens(wanted_tokens, work);
     for (const adapter_ref& ref : in_use) {
         *work.add_in_use() = to_message(ref);
     }
-    return in_flight > 0 || avoided_by > 0;
+    return in_flight > 0 || avoided_by > 0 || is_wanted;
 }
 
 void load_exchange::append_server_work(const server_filter& is_included, bool include_local_peers,
@@ -137,16 +165,21 @@
         const std::uint32_t in_flight = server.total_in_flight();
         const std::uint32_t avoided_by =
             server.avoided_by_others() + (server.is_avoided(state_.now()) ? 1 : 0);
-        if ((in_flight == 0 && avoided_by == 0) || !is_included(server)) {
+        protocol::ServerTotals entry;
+        tokens_by_rank wanted_tokens = state_.scheduler.wanted_tokens(name);
+        add_tokens(wanted_tokens, server.peers_wanted_tokens());
+        const bool is_wanted = set_wanted_tokens(wanted_tokens, entry);
+        if ((in_flight == 0 && avoided_by == 0 && !is_wanted) || !is_included(server)) {
             continue;
         }
-        protocol::ServerTotals& entry = *totals.Add();
         entry.set_server(name.text());
         entry.set_in_flight(in_flight);
         entry.set_avoided_by(avoided_by);
         entry.set_streaming(server.total_streaming());
         entry.set_pending_tokens(server.total_pending_tokens());
+        entry.set_committed_tokens(server.total_committed_tokens());
         entry.set_used_places(static_cast<std::uint32_t>(server.used_places()));
+        *totals.Add() = std::move(entry);
     }
 }
 
@@ -381,6 +414,7 @@
     apply_totals(holder_source(), beat.totals(), reported_to_holder_);
     apply_successes(success_scope::deployment, holder_source(), beat.successes());
     apply_crashes(from, beat.crashes());
+    state_.scheduler.on_reports();
 }
 
 void load_exchange::on_gateway_state(const instance_name& from, const protocol::GatewayState& state) {
@@ -388,6 +422,7 @@
     apply_work(from, state.work());
     apply_successes(success_scope::gateway, from, state.successes());
     apply_crashes(from, state.crashes());
+    state_.scheduler.on_reports();
     for (const protocol::ServerWork& item : state.work()) {
         const server_name name{item.server()};
         const backend* server = state_.directory.find(name);
@@ -408,6 +443,7 @@
     apply_totals(source, work.totals(), reported_to_remote_[data_centre]);
     apply_successes(success_scope::data_centre, source, work.successes());
     apply_crashes(from, work.crashes());
+    state_.scheduler.on_reports();
 }
 
 void load_exchange::on_crash_report(const instance_name& from, const protocol::CrashReport& report) {
--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -302,9 +302,15 @@
 
 asio::awaitable<std::optional<server_choice>> request_handler::select_server() {
     while (has_time_left()) {
+        const placement place = co_await find_place();
+        if (place.outcome == placement_outcome::refuse) {
+            co_return std::nullopt;
+        }
+        if (place.outcome == placement_outcome::wait) {
+            continue;
+        }
         const time_point now = state_.now();
-        work_.longest_wait = deadline_ - now;
-        auto choice = state_.selector.pick(state_.directory, state_.versions, work_, now);
+        const auto& choice = place.choice;
         if (!choice) {
             if (co_await wait_for_pause_end()) {
                 continue;
@@ -336,6 +342,40 @@
     co_return std::nullopt;
 }
 
+placement_terms request_handler::make_placement_terms() const {
+    placement_terms terms;
+    terms.rank = route_->priority;
+    terms.has_returned = attempts_ > 0;
+    terms.arrived = started_;
+    terms.target = started_ + route_->latency_target;
+    terms.deadline = answer_limit();
+    terms.output_tokens = attributes_.output_tokens;
+    terms.digest = suspects_.front().digest;
+    if (const service_spec* service = routes_->find_service(work_.service); service && service->engine) {
+        terms.slots = service->engine->slots;
+        terms.memory_tokens = service->engine->kv_tokens;
+    }
+    terms.shortest_target = routes_->shortest_latency_target(work_.service).value_or(route_->latency_target);
+    return terms;
+}
+
+asio::awaitable<placement> request_handler::find_place() {
+    const time_point now = state_.now();
+    work_.longest_wait = deadline_ - now;
+    if (!state_.scheduler.is_responsible_for(work_)) {
+        const auto choice = state_.selector.pick(state_.directory, state_.versions, work_, now);
+        co_return placement{choice ? placement_outcome::send : placement_outcome::no_server, choice};
+    }
+    const placement place = co_await state_.scheduler.wait_for_place(work_, make_placement_terms(),
+                                                                     [this] { return has_time_left(); });
+    if (place.outcome == placement_outcome::refuse) {
+        last_error_ = fmt::format("there is no room for it before its deadline; expected after {} ms",
+                                  to_ms(place.expected_wait));
+        retry_after_ = place.retry_after;
+    }
+    co_return place;
+}
+
 asio::awaitable<bool> request_handler::wait_for_pause_end() {
     const time_point now = state_.now();
     const auto pause_end = state_.directory.earliest_pause_end(work_.service, now);
@@ -375,6 +415,12 @@
         coordinator_.record_use(choice.server, work_.weights);
     }
     server_selector::record_sent_prompt(*server, work_, state_.now());
+    const bool is_bounded = state_.scheduler.is_responsible_for(work_);
+    const request_size size{pending_tokens_,
+                            std::uint64_t{attributes_.prompt_tokens} + attributes_.output_tokens};
+    if (is_bounded) {
+        state_.scheduler.on_sent(*server, make_placement_terms(), size);
+    }
     log_routed(choice);
 
     attempt_outcome result = attempt_outcome::not_sent;
@@ -394,6 +440,11 @@
             server->adapters_in_use.erase(work_.weights);
         }
     }
+    if (is_bounded) {
+        const bool is_completed = result == attempt_outcome::finished && !is_caller_gone_;
+        state_.scheduler.on_ended(choice.server, started_at, size,
+                                  is_completed ? std::optional{state_.now() - sent_at_} : std::nullopt);
+    }
     co_return result;
 }
 
@@ -662,7 +713,9 @@
     if (server != nullptr) {
         server->pending_tokens -= std::min<std::uint64_t>(server->pending_tokens, pending_tokens_);
     }
-    pending_tokens_ = 0;
+    if (std::exchange(pending_tokens_, 0) > 0) {
+        state_.scheduler.on_progress(current_server_);
+    }
 }
 
 bool request_handler::has_room(memory_share& memory, std::size_t bytes) {
@@ -832,6 +885,7 @@
         return; // Only the process's end may cut it, since it may still complete.
     }
     is_ended_by_stop_ = true;
+    state_.scheduler.give_up(work_);
     if (connection_) {
         connection_->abort();
     }
@@ -839,6 +893,7 @@
 
 void request_handler::on_caller_gone() {
     is_caller_gone_ = true;
+    state_.scheduler.give_up(work_);
     if (connection_) {
         connection_->abort();
     }
--- a/modules/service/decision_log.cpp
+++ b/modules/service/decision_log.cpp
@@ -51,6 +51,8 @@
         return "request_cancelled";
     case event::message_given_up:
         return "message_given_up";
+    case event::requests_waiting:
+        return "requests_waiting";
     case event::adapter_load_ordered:
         return "adapter_load_ordered";
     case event::adapter_load_failed:
--- a/modules/serving/backend_directory.cpp
+++ b/modules/serving/backend_directory.cpp
@@ -71,6 +71,24 @@
     return total;
 }
 
+std::uint64_t backend::total_committed_tokens() const {
+    std::uint64_t total = committed_tokens;
+    for (const auto& [peer, work] : peer_work) {
+        total += work.committed_tokens;
+    }
+    return total;
+}
+
+tokens_by_rank backend::peers_wanted_tokens() const {
+    tokens_by_rank total{};
+    for (const auto& [peer, work] : peer_work) {
+        for (std::size_t rank = 0; rank < waiting_ranks; ++rank) {
+            total[rank] += work.wanted_tokens[rank];
+        }
+    }
+    return total;
+}
+
 bool backend::is_used_by_peers(const adapter_ref& ref) const {
     return std::any_of(peer_work.begin(), peer_work.end(),
                        [&](const auto& entry) { return entry.second.in_use.contains(ref); });
--- a/modules/serving/include/lovageledge/serving/backend_directory.hpp
+++ b/modules/serving/include/lovageledge/serving/backend_directory.hpp
@@ -2,6 +2,7 @@
 
 #include "lovageledge/serving/server_notices.hpp"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -52,12 +53,22 @@
     std::uint32_t pace_percent = 100;
 };
 
+/** Number of ranks among requests that wait; larger priorities count as the last rank. */
+constexpr std::size_t waiting_ranks = 10;
+/** Prompt tokens by rank. */
+using tokens_by_rank = std::array<std::uint64_t, waiting_ranks>;
+
 /** Requests of other gateways at a server, as last reported by them. */
 struct peer_server_work {
     std::uint32_t in_flight = 0;
     /** Streams among them whose first event has arrived. */
     std::uint32_t streaming = 0;
     std::uint64_t pending_tokens = 0;
+    /** Prompt and maximum output tokens of the requests in flight. */
+    std::uint64_t committed_tokens = 0;
+    /** Uncached prompt tokens of requests that wait at their gateways for room on the server, or were sent to
+        it within the reports' lag. */
+    tokens_by_rank wanted_tokens{};
     /** Number of gateways that avoid the server because it fails or stalls. */
     std::uint32_t avoided_by = 0;
     /** Adapters in use; empty if only totals are reported. */
@@ -93,6 +104,9 @@
     std::uint32_t streaming = 0;
     /** Uncached prompt tokens of this instance's requests whose first event has not arrived. */
     std::uint64_t pending_tokens = 0;
+    /** Prompt and maximum output tokens of this instance's requests in flight; 0 unless the number of
+        requests per engine is bounded. */
+    std::uint64_t committed_tokens = 0;
     std::map<instance_name, peer_server_work> peer_work;
 
     std::uint32_t consecutive_failures = 0;
@@ -120,6 +134,9 @@
     std::uint32_t total_in_flight() const;
     std::uint32_t total_streaming() const;
     std::uint64_t total_pending_tokens() const;
+    std::uint64_t total_committed_tokens() const;
+    /** @returns the tokens that other gateways want to send to the server or have sent recently */
+    tokens_by_rank peers_wanted_tokens() const;
     /** @returns true if any gateway is known to have a request for the adapter on the server */
     bool is_in_use(const adapter_ref& ref) const {
         return adapters_in_use.contains(ref) || is_used_by_peers(ref);
--- a/modules/serving/include/lovageledge/serving/retry_budget.hpp
+++ b/modules/serving/include/lovageledge/serving/retry_budget.hpp
@@ -29,6 +29,7 @@
     void set_allowance(retry_allowance allowance) { allowance_ = allowance; }
     /** @param instances number of instances that may send requests, including this one; at least 1 */
     void set_instances(std::size_t instances) { instances_ = instances == 0 ? 1 : instances; }
+    std::size_t instances() const { return instances_; }
 
     /** Counts a request from a caller for the service. */
     void on_request(const pool_name& service, time_point now);
--- a/modules/serving/include/lovageledge/serving/server_selector.hpp
+++ b/modules/serving/include/lovageledge/serving/server_selector.hpp
@@ -35,6 +35,9 @@
     std::vector<prompt_part> prompt_parts;
     /** Servers that must not be chosen, because they refused this request or failed it. */
     std::set<server_name> excluded;
+    /** If set, returns how long the request would wait for room on a server, which adds to the server's cost;
+        nothing if the server must not be chosen. */
+    std::function<std::optional<duration>(const backend&)> wait_for_room;
 
     bool needs_weights() const { return !weights.model.empty(); }
 };
--- a/modules/serving/include/lovageledge/serving/traffic_configuration.hpp
+++ b/modules/serving/include/lovageledge/serving/traffic_configuration.hpp
@@ -114,6 +114,9 @@
     /** @returns the service, or nullptr if the configuration has none of that name */
     const service_spec* find_service(const pool_name& name) const;
 
+    /** @returns the shortest latency target among the routes of a service, or nothing if it has none */
+    std::optional<duration> shortest_latency_target(const pool_name& service) const;
+
     std::uint64_t version() const { return configuration_.version; }
     const caller_limits& limits() const { return configuration_.limits; }
     const std::vector<service_spec>& services() const { return configuration_.services; }
--- a/modules/serving/reported_work.cpp
+++ b/modules/serving/reported_work.cpp
@@ -17,6 +17,11 @@
         result.streaming -= std::min(result.streaming, own->second.streaming);
         result.avoided_by -= std::min(result.avoided_by, own->second.avoided_by);
         result.pending_tokens -= std::min(result.pending_tokens, own->second.pending_tokens);
+        result.committed_tokens -= std::min(result.committed_tokens, own->second.committed_tokens);
+        for (std::size_t rank = 0; rank < waiting_ranks; ++rank) {
+            result.wanted_tokens[rank] -=
+                std::min(result.wanted_tokens[rank], own->second.wanted_tokens[rank]);
+        }
     }
     return result;
 }
--- /dev/null
+++ b/modules/serving/request_placement.cpp
@@ -0,0 +1,247 @@
+#include "lovageledge/serving/request_placement.hpp"
+
+#include <algorithm>
+
+namespace lovageledge {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Part of the latency target that the engine may need to prefill the prompts that were sent to it. */
+constexpr double reading_share = 0.5;
+/** Least amount of prompts at an engine, as time to prefill them: more than the age of the reports, since an
+    engine would otherwise be idle until its emptiness is known. */
+constexpr auto min_reading = milliseconds{450};
+/** Shortest expected wait of a request for which there is no room; at least until the next request ends. */
+constexpr auto min_wait = milliseconds{10};
+/** A waiting request decides again after this time, plus up to as much by hash so that requests don't decide
+    in step, and later if many wait, which bounds the processor time. */
+constexpr auto check_interval = milliseconds{100};
+constexpr auto check_interval_per_request = milliseconds{10};
+constexpr auto min_retry_after = milliseconds{100};
+constexpr auto max_retry_after = std::chrono::seconds{10};
+
+/** Busy engines whose expected waits differ by less than this are chosen between by hash. What is known of
+   them is up to 400 ms old, and otherwise all gateways would choose the one that seemed best at that time. */
+constexpr auto busy_spread = milliseconds{150};
+/** An adapter that some engine holds is loaded on another one only if that one's unread prompts and running
+    requests are below these parts of their bounds. Otherwise the requests of a general overload would evict
+    each other's adapters. */
+constexpr double calm_unread_part = 0.5;
+constexpr double calm_slots_part = 0.75;
+/** Number of gateways that avoid an engine before requests that have a choice do. */
+constexpr std::uint32_t min_avoiding_gateways = 2;
+
+/** @returns a pseudo-random number from 0 to 1 */
+double fraction(std::uint64_t hash) {
+    constexpr std::uint64_t steps = 1024;
+    return static_cast<double>(hash % steps) / static_cast<double>(steps);
+}
+
+duration scaled(duration value, double factor) {
+    return std::chrono::duration_cast<duration>(value * factor);
+}
+
+} // namespace
+
+waiting_ticket request_placement::begin(const placement_terms& terms, time_point now) {
+    waiting_request request;
+    request.rank = terms.rank;
+    request.account = terms.account;
+    request.account_weight = terms.account_weight;
+    request.has_returned = queue_.take_returned(terms.digest, now) || terms.has_returned;
+    request.arrived = terms.arrived;
+    request.target = terms.target;
+    request.deadline = terms.deadline;
+    const waiting_ticket ticket = queue_.add(std::move(request));
+    entries_[ticket].terms = terms;
+    return ticket;
+}
+
+void request_placement::end(waiting_ticket ticket) {
+    queue_.remove(ticket);
+    entries_.erase(ticket);
+}
+
+engine_bounds request_placement::bounds_of(const backend& engine, const placement_terms& terms) const {
+    const double tokens_per_ms = speed_(engine);
+    const duration reading = std::max<duration>(min_reading, scaled(terms.shortest_target, reading_share));
+    return {terms.slots, terms.memory_tokens,
+            tokens_per_ms * std::chrono::duration<double, std::milli>(reading).count(), tokens_per_ms};
+}
+
+request_size request_placement::size_on(const backend& engine, const entry& known,
+                                        const selection_request& work, time_point now) const {
+    return {selector_.uncached_tokens(engine, work, now),
+            std::uint64_t{work.prompt_tokens} + known.terms.output_tokens};
+}
+
+bool request_placement::has_room(const backend& engine, waiting_ticket ticket, const entry& known,
+                                 const request_size& size, time_point now) const {
+    if (!queue_.is_first_at(engine.listing.name, ticket, now)) {
+        return false;
+    }
+    const waiting_request& request = *queue_.find(ticket);
+    const std::size_t rank = waiting_requests::effective_rank(request, now);
+    std::uint64_t waiting_tokens = queue_.tokens_at(engine.listing.name, now).at(rank);
+    if (request.server != engine.listing.name) {
+        waiting_tokens += size.unread_tokens;
+    }
+    return room_.has_room(engine, bounds_of(engine, known.terms), size, {rank, waiting_tokens}, now);
+}
+
+duration request_placement::wait_at(const backend& engine, waiting_ticket ticket, const entry& known,
+                                    const request_size& size, time_point now) const {
+    if (has_room(engine, ticket, known, size, now)) {
+        return duration::zero();
+    }
+    const std::size_t rank = waiting_requests::effective_rank(*queue_.find(ticket), now);
+    const tokens_by_rank peers = engine.peers_wanted_tokens();
+    // Of the requests of the same rank at other gateways, about half go before this one.
+    std::uint64_t ahead = queue_.tokens_ahead(engine.listing.name, ticket, now) + peers.at(rank) / 2;
+    for (std::size_t i = 0; i < rank; ++i) {
+        ahead += peers.at(i);
+    }
+    return std::max<duration>(min_wait,
+                              room_.expected_wait(engine, bounds_of(engine, known.terms), size, ahead));
+}
+
+bool request_placement::is_calm(const backend& engine, const placement_terms& terms) const {
+    const auto unread = static_cast<double>(engine.total_pending_tokens());
+    return unread <= calm_unread_part * bounds_of(engine, terms).unread_tokens &&
+           engine.total_in_flight() <= calm_slots_part * terms.slots;
+}
+
+bool request_placement::is_held_anywhere(const selection_request& work, time_point now) const {
+    const auto servers = directory_.usable_servers(work.service);
+    return std::any_of(servers.begin(), servers.end(), [&](const backend* server) {
+        return !server->is_paused(now) && !server->is_avoided(now) &&
+               !work.excluded.contains(server->listing.name) &&
+               server_selector::holds(*server, versions_, work, now);
+    });
+}
+
+std::optional<server_choice> request_placement::choose_with_room(waiting_ticket ticket,
+                                                                 selection_request& work,
+                                                                 time_point first_event,
+                                                                 time_point now) const {
+    const entry& known = entries_.at(ticket);
+    const bool is_late = first_event > known.terms.target;
+    if (!is_late) {
+        return std::nullopt;
+    }
+    work.wait_for_room = [&](const backend& engine) {
+        const bool is_good = !engine.is_avoided(now) && engine.full_until <= now &&
+                             engine.avoided_by_others() < min_avoiding_gateways;
+        return is_good && has_room(engine, ticket, known, size_on(engine, known, work, now), now)
+                   ? std::optional{duration::zero()}
+                   : std::nullopt;
+    };
+    auto choice = selector_.pick(directory_, versions_, work, now);
+    if (!choice) {
+        return std::nullopt;
+    }
+    // A load that saves neither the target nor the deadline would only evict what others need.
+    const time_point limit = first_event > known.terms.deadline ? known.terms.deadline : known.terms.target;
+    const bool is_calm_enough = is_calm(*directory_.find(choice->server), known.terms);
+    const bool is_worth_it = !choice->needs_load || (is_calm_enough && now + choice->estimate <= limit);
+    return is_worth_it ? choice : std::nullopt;
+}
+
+tokens_by_rank request_placement::wanted_tokens(const server_name& server, time_point now) const {
+    tokens_by_rank tokens = queue_.tokens_at(server, now);
+    const tokens_by_rank sent = room_.sent_tokens(server, now);
+    for (std::size_t rank = 0; rank < waiting_ranks; ++rank) {
+        tokens.at(rank) += sent.at(rank);
+    }
+    return tokens;
+}
+
+placement request_placement::decide(waiting_ticket ticket, selection_request& work, time_point now) {
+    entry& known = entries_.at(ticket);
+    waiting_request& request = *queue_.find(ticket);
+    placement result;
+    const std::uint64_t key = stable_hash(work.id.text());
+    const bool is_held = is_held_anywhere(work, now);
+    work.wait_for_room = [&](const backend& engine) -> std::optional<duration> {
+        const bool may_load = !is_held || is_calm(engine, known.terms);
+        if (!may_load && !server_selector::holds(engine, versions_, work, now)) {
+            return std::nullopt;
+        }
+        const duration wait = wait_at(engine, ticket, known, size_on(engine, known, work, now), now);
+        const bool is_busy = engine.total_in_flight() > 0;
+        const double part = is_busy ? fraction(rendezvous_weight(key, engine.name_hash)) : 0.0;
+        return wait + scaled(busy_spread, part);
+    };
+    auto choice = selector_.pick(directory_, versions_, work, now);
+    if (!choice) {
+        work.wait_for_room = nullptr;
+        queue_.set_server(ticket, server_name{});
+        return result;
+    }
+    const backend& engine = *directory_.find(choice->server);
+    known.size = size_on(engine, known, work, now);
+    result.expected_wait = wait_at(engine, ticket, known, known.size, now);
+    result.choice = choice;
+    const duration reading =
+        engine_room::expected_reading(engine, bounds_of(engine, known.terms), known.size);
+    const time_point first_event = now + result.expected_wait + reading;
+    if (result.expected_wait > duration::zero()) {
+        if (const auto other = choose_with_room(ticket, work, first_event, now)) {
+            result.choice = other;
+            result.expected_wait = duration::zero();
+        }
+    }
+    work.wait_for_room = nullptr;
+    if (result.expected_wait == duration::zero()) {
+        // While an adapter is loaded for it, the request must not hold up others.
+        queue_.set_server(ticket, server_name{});
+        result.outcome = placement_outcome::send;
+        return result;
+    }
+    if (first_event >= known.terms.deadline) {
+        // A copy that arrives later should have half of its time left when there is room.
+        const duration half_time = (known.terms.deadline - known.terms.arrived) / 2;
+        const duration until_room = first_event - now - half_time;
+        const double spread = 1.0 + fraction(stable_hash(work.id.text())) / 2;
+        result.outcome = placement_outcome::refuse;
+        result.retry_after =
+            scaled(std::clamp<duration>(until_room, min_retry_after, max_retry_after), spread);
+        queue_.on_refused(known.terms.digest, now + result.retry_after);
+        queue_.set_server(ticket, server_name{});
+        return result;
+    }
+    request.unread_tokens = known.size.unread_tokens;
+    request.reading = reading;
+    queue_.set_server(ticket, choice->server);
+    result.outcome = placement_outcome::wait;
+    const duration interval = std::max<duration>(
+        check_interval, check_interval_per_request * static_cast<std::int64_t>(queue_.size()));
+    result.check_at = std::min(now + scaled(interval, 1.0 + fraction(stable_hash(work.id.text()))),
+                               std::max(now + duration{milliseconds{1}}, known.terms.deadline - reading));
+    return result;
+}
+
+std::optional<waiting_ticket> request_placement::next_ready(const server_name& server, time_point now) const {
+    const auto first = queue_.first_at(server, now);
+    if (!first) {
+        return std::nullopt;
+    }
+    const backend* engine = directory_.find(server);
+    const bool is_usable = engine != nullptr && engine->is_listed && !engine->is_leaving;
+    const entry& known = entries_.at(*first);
+    const bool is_ready = !is_usable || has_room(*engine, *first, known, known.size, now);
+    return is_ready ? first : std::nullopt;
+}
+
+void request_placement::on_sent(const server_name& server, const placement_terms& terms,
+                                const request_size& size, time_point now) {
+    waiting_request request;
+    request.rank = terms.rank;
+    request.arrived = terms.arrived;
+    request.deadline = terms.deadline;
+    room_.on_sent(server, size, waiting_requests::effective_rank(request, now), now);
+    queue_.on_served(terms.account, size.memory_tokens, now);
+}
+
+} // namespace lovageledge
--- a/modules/serving/server_selector.cpp
+++ b/modules/serving/server_selector.cpp
@@ -147,9 +147,14 @@
         if (is_base_missing) {
             continue;
         }
+        const auto wait =
+            request.wait_for_room ? request.wait_for_room(*server) : std::optional{duration::zero()};
+        if (!wait) {
+            continue;
+        }
         server_choice choice{server->listing.name, !holds(*server, versions, request, now),
                              !is_local_(server->listing.zone), estimate_(*server, request, now)};
-        duration cost = choice.estimate + spread_cost(*server, request_key);
+        duration cost = choice.estimate + *wait + spread_cost(*server, request_key);
         if (choice.needs_load) {
             const bool is_warm =
                 server->cached_adapters.contains(request.weights) && !is_outdated(*server, versions, request);
--- a/modules/serving/traffic_configuration.cpp
+++ b/modules/serving/traffic_configuration.cpp
@@ -64,4 +64,17 @@
     return found == services.end() ? nullptr : &*found;
 }
 
+std::optional<duration> route_table::shortest_latency_target(const pool_name& service) const {
+    std::optional<duration> shortest;
+    for (const route_rule& route : configuration_.routes) {
+        const bool is_used =
+            std::any_of(route.services.begin(), route.services.end(),
+                        [&](const weighted_service& entry) { return entry.service == service; });
+        if (is_used && route.latency_target > duration::zero()) {
+            shortest = std::min(shortest.value_or(route.latency_target), route.latency_target);
+        }
+    }
+    return shortest;
+}
+
 } // namespace lovageledge
