--- a/modules/gateway/gateway_settings_test.cpp
+++ b/modules/gateway/gateway_settings_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(reads_the_limits_of_order_holders);
     CPPUNIT_TEST(reports_a_flag_that_is_neither_true_nor_false);
     CPPUNIT_TEST(reads_the_memory_of_the_process);
+    CPPUNIT_TEST(waiting_is_bounded_only_if_set);
     CPPUNIT_TEST_SUITE_END();
 
     std::vector<std::string> errors_;
@@ -58,6 +59,15 @@
         CPPUNIT_ASSERT(errors_.front().rfind("line 18, [limits] memory_mb", 0) == 0);
     }
 
+    // Deployments without the setting must not change their behaviour.
+    void waiting_is_bounded_only_if_set() {
+        CPPUNIT_ASSERT(!parse_gateway_settings(valid_settings, errors_)->is_waiting_bounded);
+        CPPUNIT_ASSERT(parse_gateway_settings(valid_settings + "[waiting]\nbounded = true\n", errors_)
+                           ->is_waiting_bounded);
+        CPPUNIT_ASSERT(!parse_gateway_settings(valid_settings + "[waiting]\nbounded = 1\n", errors_));
+        CPPUNIT_ASSERT(errors_.front() == "line 18, [waiting] bounded: expected true or false");
+    }
+
     void rejects_unknown_fields() {
         CPPUNIT_ASSERT(!parse_gateway_settings(valid_settings + "[policy]\nspeed = 1\n", errors_));
     }
--- a/modules/gateway/request_scheduler.cpp
+++ b/modules/gateway/request_scheduler.cpp
@@ -46,13 +46,14 @@
     }
     // An entry that is left behind would hold up all others.
     const waiting_request* request = placement_.queue().find(ticket);
-    const server_name server = request == nullptr ? server_name{} : request->server;
+    const std::vector<server_name> servers =
+        request == nullptr ? std::vector<server_name>{} : request->servers;
     waiters_.erase(ticket);
     placement_.end(ticket);
     if (thrown) {
         std::rethrow_exception(thrown);
     }
-    if (!server.is_empty()) {
+    for (const server_name& server : servers) {
         wake_first(server); // Others may have waited behind this request.
     }
     co_return result;
--- a/modules/serving/include/lovageledge/serving/engine_room.hpp
+++ b/modules/serving/include/lovageledge/serving/engine_room.hpp
@@ -53,7 +53,7 @@
     /** Upper bound for the age of what is known of other gateways' requests. */
     static constexpr duration report_lag = std::chrono::milliseconds{400};
     /** Without any report for this long, several report intervals, the gateway counts as out of contact. */
-    static constexpr duration contact_limit = std::chrono::milliseconds{1000};
+    static constexpr duration contact_limit = std::chrono::milliseconds{600};
     /** Part of an engine's memory that is not filled, since gateways decide on delayed reports. */
     static constexpr double memory_reserve = 0.05;
 
@@ -99,6 +99,8 @@
         double per_token = 1.0;
         /** The request itself must fit; otherwise the limit may be passed by the last request. */
         bool must_fit = false;
+        /** Taken up for as long as a request runs, not only until its first event. */
+        bool is_held = false;
 
         bool is_free() const { return must_fit ? used + size <= limit : used < limit; }
     };
@@ -108,8 +110,8 @@
         request_size size;
     };
 
-    /** @returns a pseudo-random number from 0 to 1 that changes with each period of report_lag */
-    double rounding(const backend& engine, time_point now) const;
+    /** @returns a pseudo-random number from 0 to 1 that changes with each period */
+    double rounding(const backend& engine, duration period, time_point now) const;
     bool is_out_of_contact(time_point now) const {
         return gateways_ > 1 && now - last_reports_ > contact_limit;
     }
@@ -122,6 +124,8 @@
     double mean_run_ms_ = 1500.0;
     double mean_unread_tokens_ = 1000.0;
     double mean_memory_tokens_ = 1200.0;
+    /** Memory tokens times the time for which they were taken up; large requests run longer. */
+    double mean_memory_use_ = mean_memory_tokens_ * mean_run_ms_;
 };
 
 } // namespace lovageledge
--- a/modules/serving/include/lovageledge/serving/request_placement.hpp
+++ b/modules/serving/include/lovageledge/serving/request_placement.hpp
@@ -4,6 +4,7 @@
 #include "lovageledge/serving/server_selector.hpp"
 #include "lovageledge/serving/waiting_requests.hpp"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -105,6 +106,14 @@
         placement_terms terms;
         /** On the engine for which it waits. */
         request_size size;
+        /** Estimate when the request began to wait, and when that was. */
+        std::optional<duration> predicted;
+        time_point waits_since{};
+    };
+    /** Sums of predicted and observed waits of one rank; older ones count less. */
+    struct wait_record {
+        double predicted_ms = 1.0;
+        double observed_ms = 1.0;
     };
 
     engine_bounds bounds_of(const backend& engine, const placement_terms& terms) const;
@@ -115,6 +124,10 @@
                      const request_size& size, time_point now) const;
     request_size size_on(const backend& engine, const entry& known, const selection_request& work,
                          time_point now) const;
+    /** Learns from a request that has waited and is sent now. */
+    void learn_wait(const entry& known, time_point now);
+    /** @returns the factor by which the waits of a rank were longer than estimated */
+    double wait_factor(std::uint32_t rank) const;
     /** @returns true if adapters may be loaded on the engine although others hold them */
     bool is_calm(const backend& engine, const placement_terms& terms) const;
     /** @returns true if a server that can take the request holds its weights */
@@ -131,6 +144,7 @@
     const version_registry& versions_;
     speed_function speed_;
     std::map<waiting_ticket, entry> entries_;
+    std::array<wait_record, waiting_ranks> waits_{};
 };
 
 } // namespace lovageledge
--- a/modules/serving/include/lovageledge/serving/waiting_requests.hpp
+++ b/modules/serving/include/lovageledge/serving/waiting_requests.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace lovageledge {
 
@@ -27,8 +28,8 @@
     time_point target{};
     /** When the first event must have come. */
     time_point deadline{};
-    /** The engine for which it waits; empty until one was chosen. */
-    server_name server;
+    /** The engines for any of which it waits. */
+    std::vector<server_name> servers;
     /** Prompt tokens that the engine has to prefill. */
     std::uint64_t unread_tokens = 0;
     /** Expected time from sending the request to its first event. */
@@ -46,11 +47,12 @@
 public:
     waiting_ticket add(waiting_request request);
     void remove(waiting_ticket ticket);
-    /** @returns the entry, or nullptr if it was removed. Its server must not be changed, see set_server(). */
+    /** @returns the entry, or nullptr if it was removed. Its servers must not be changed, see set_servers().
+     */
     waiting_request* find(waiting_ticket ticket);
     const waiting_request* find(waiting_ticket ticket) const;
-    /** Sets the engine for which a request waits. */
-    void set_server(waiting_ticket ticket, const server_name& server);
+    /** Sets the engines for which a request waits; it goes to the first that has room. */
+    void set_servers(waiting_ticket ticket, std::vector<server_name> servers);
 
     std::size_t size() const { return entries_.size(); }
     /** @returns the engines for which requests wait, and their requests */
@@ -65,8 +67,8 @@
     bool is_first_at(const server_name& server, waiting_ticket ticket, time_point now) const;
     /** @returns the tokens that wait for an engine, by effective rank */
     tokens_by_rank tokens_at(const server_name& server, time_point now) const;
-    /** @returns the tokens of the requests for an engine that go before this one.
-        Precondition: the ticket is in the queue. */
+    /** @returns the tokens of the requests that go before this one and will probably go to the engine: those
+        that wait for several engines count in part. Precondition: the ticket is in the queue. */
     std::uint64_t tokens_ahead(const server_name& server, waiting_ticket ticket, time_point now) const;
 
     /** Counts tokens that an account was served. */
--- a/modules/serving/request_placement.cpp
+++ b/modules/serving/request_placement.cpp
@@ -1,6 +1,8 @@
 #include "lovageledge/serving/request_placement.hpp"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace lovageledge {
 namespace {
@@ -27,8 +29,16 @@
 /** An adapter that some engine holds is loaded on another one only if that one's unread prompts and running
     requests are below these parts of their bounds. Otherwise the requests of a general overload would evict
     each other's adapters. */
-constexpr double calm_unread_part = 0.5;
-constexpr double calm_slots_part = 0.75;
+constexpr double calm_unread_part = 0.1;
+constexpr double calm_slots_part = 0.5;
+/** A request is refused if its first event is expected within this part of its time before the deadline,
+   since estimates deviate. */
+constexpr double hopeless_margin = 0.05;
+/** Weight of earlier waits when a new one is observed, and the largest correction by them. */
+constexpr double wait_memory = 0.98;
+constexpr double max_wait_factor = 3.0;
+/** Most engines for which a request waits at the same time. */
+constexpr std::size_t max_waited_for = 8;
 /** Number of gateways that avoid an engine before requests that have a choice do. */
 constexpr std::uint32_t min_avoiding_gateways = 2;
 
@@ -38,6 +48,19 @@
     return static_cast<double>(hash % steps) / static_cast<double>(steps);
 }
 
+/** @returns the servers with the shortest waits, including the chosen one */
+std::vector<server_name> nearest(std::vector<std::pair<duration, server_name>> servers,
+                                 const server_name& chosen) {
+    std::sort(servers.begin(), servers.end());
+    std::vector<server_name> names{chosen};
+    for (const auto& [wait, name] : servers) {
+        if (names.size() < max_waited_for && name != chosen) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 duration scaled(duration value, double factor) {
     return std::chrono::duration_cast<duration>(value * factor);
 }
@@ -84,7 +107,8 @@
     const waiting_request& request = *queue_.find(ticket);
     const std::size_t rank = waiting_requests::effective_rank(request, now);
     std::uint64_t waiting_tokens = queue_.tokens_at(engine.listing.name, now).at(rank);
-    if (request.server != engine.listing.name) {
+    const auto& servers = request.servers;
+    if (std::find(servers.begin(), servers.end(), engine.listing.name) == servers.end()) {
         waiting_tokens += size.unread_tokens;
     }
     return room_.has_room(engine, bounds_of(engine, known.terms), size, {rank, waiting_tokens}, now);
@@ -97,15 +121,36 @@
     }
     const std::size_t rank = waiting_requests::effective_rank(*queue_.find(ticket), now);
     const tokens_by_rank peers = engine.peers_wanted_tokens();
-    // Of the requests of the same rank at other gateways, about half go before this one.
-    std::uint64_t ahead = queue_.tokens_ahead(engine.listing.name, ticket, now) + peers.at(rank) / 2;
+    // Of the requests of the same rank at other gateways, about half go before this one. Each waits for about
+    // as many engines as this one, and goes to one of them.
+    std::uint64_t others = peers.at(rank) / 2;
     for (std::size_t i = 0; i < rank; ++i) {
-        ahead += peers.at(i);
+        others += peers.at(i);
     }
+    const std::size_t choices = std::max<std::size_t>(1, queue_.find(ticket)->servers.size());
+    const std::uint64_t ahead = queue_.tokens_ahead(engine.listing.name, ticket, now) + others / choices;
     return std::max<duration>(min_wait,
                               room_.expected_wait(engine, bounds_of(engine, known.terms), size, ahead));
 }
 
+void request_placement::learn_wait(const entry& known, time_point now) {
+    if (!known.predicted) {
+        return;
+    }
+    wait_record& record = waits_.at(std::min<std::size_t>(known.terms.rank, waiting_ranks - 1));
+    const double factor = wait_factor(known.terms.rank);
+    const auto to_ms = [](duration value) {
+        return std::chrono::duration<double, std::milli>(value).count();
+    };
+    record.predicted_ms = record.predicted_ms * wait_memory + to_ms(*known.predicted) / factor;
+    record.observed_ms = record.observed_ms * wait_memory + to_ms(now - known.waits_since);
+}
+
+double request_placement::wait_factor(std::uint32_t rank) const {
+    const wait_record& record = waits_.at(std::min<std::size_t>(rank, waiting_ranks - 1));
+    return std::clamp(record.observed_ms / std::max(1.0, record.predicted_ms), 1.0, max_wait_factor);
+}
+
 bool request_placement::is_calm(const backend& engine, const placement_terms& terms) const {
     const auto unread = static_cast<double>(engine.total_pending_tokens());
     return unread <= calm_unread_part * bounds_of(engine, terms).unread_tokens &&
@@ -163,20 +208,25 @@
     placement result;
     const std::uint64_t key = stable_hash(work.id.text());
     const bool is_held = is_held_anywhere(work, now);
+    std::vector<std::pair<duration, server_name>> holders;
     work.wait_for_room = [&](const backend& engine) -> std::optional<duration> {
         const bool may_load = !is_held || is_calm(engine, known.terms);
-        if (!may_load && !server_selector::holds(engine, versions_, work, now)) {
+        const bool holds = server_selector::holds(engine, versions_, work, now);
+        if (!may_load && !holds) {
             return std::nullopt;
         }
         const duration wait = wait_at(engine, ticket, known, size_on(engine, known, work, now), now);
         const bool is_busy = engine.total_in_flight() > 0;
         const double part = is_busy ? fraction(rendezvous_weight(key, engine.name_hash)) : 0.0;
+        if (holds && !engine.is_avoided(now)) {
+            holders.emplace_back(wait, engine.listing.name);
+        }
         return wait + scaled(busy_spread, part);
     };
     auto choice = selector_.pick(directory_, versions_, work, now);
     if (!choice) {
         work.wait_for_room = nullptr;
-        queue_.set_server(ticket, server_name{});
+        queue_.set_servers(ticket, {});
         return result;
     }
     const backend& engine = *directory_.find(choice->server);
@@ -185,6 +235,7 @@
     result.choice = choice;
     const duration reading =
         engine_room::expected_reading(engine, bounds_of(engine, known.terms), known.size);
+    result.expected_wait = scaled(result.expected_wait, wait_factor(known.terms.rank));
     const time_point first_event = now + result.expected_wait + reading;
     if (result.expected_wait > duration::zero()) {
         if (const auto other = choose_with_room(ticket, work, first_event, now)) {
@@ -195,11 +246,13 @@
     work.wait_for_room = nullptr;
     if (result.expected_wait == duration::zero()) {
         // While an adapter is loaded for it, the request must not hold up others.
-        queue_.set_server(ticket, server_name{});
+        queue_.set_servers(ticket, {});
+        learn_wait(known, now);
         result.outcome = placement_outcome::send;
         return result;
     }
-    if (first_event >= known.terms.deadline) {
+    const duration margin = scaled(known.terms.deadline - known.terms.arrived, hopeless_margin);
+    if (first_event + margin >= known.terms.deadline) {
         // A copy that arrives later should have half of its time left when there is room.
         const duration half_time = (known.terms.deadline - known.terms.arrived) / 2;
         const duration until_room = first_event - now - half_time;
@@ -208,12 +261,16 @@
         result.retry_after =
             scaled(std::clamp<duration>(until_room, min_retry_after, max_retry_after), spread);
         queue_.on_refused(known.terms.digest, now + result.retry_after);
-        queue_.set_server(ticket, server_name{});
+        queue_.set_servers(ticket, {});
         return result;
     }
+    if (!known.predicted) {
+        known.predicted = result.expected_wait;
+        known.waits_since = now;
+    }
     request.unread_tokens = known.size.unread_tokens;
     request.reading = reading;
-    queue_.set_server(ticket, choice->server);
+    queue_.set_servers(ticket, nearest(std::move(holders), choice->server));
     result.outcome = placement_outcome::wait;
     const duration interval = std::max<duration>(
         check_interval, check_interval_per_request * static_cast<std::int64_t>(queue_.size()));
--- a/modules/serving/waiting_requests.cpp
+++ b/modules/serving/waiting_requests.cpp
@@ -20,15 +20,15 @@
 
 waiting_ticket waiting_requests::add(waiting_request request) {
     const waiting_ticket ticket{++last_ticket_};
-    if (!request.server.is_empty()) {
-        by_server_[request.server].insert(ticket);
-    }
+    std::vector<server_name> servers = std::move(request.servers);
+    request.servers.clear();
     entries_.emplace(ticket, std::move(request));
+    set_servers(ticket, std::move(servers));
     return ticket;
 }
 
 void waiting_requests::remove(waiting_ticket ticket) {
-    set_server(ticket, server_name{});
+    set_servers(ticket, {});
     entries_.erase(ticket);
 }
 
@@ -42,19 +42,20 @@
     return found == entries_.end() ? nullptr : &found->second;
 }
 
-void waiting_requests::set_server(waiting_ticket ticket, const server_name& server) {
+void waiting_requests::set_servers(waiting_ticket ticket, std::vector<server_name> servers) {
     waiting_request* request = find(ticket);
-    if (request == nullptr || request->server == server) {
+    if (request == nullptr) {
         return;
     }
-    if (const auto known = by_server_.find(request->server); known != by_server_.end()) {
+    for (const server_name& server : request->servers) {
+        const auto known = by_server_.find(server);
         known->second.erase(ticket);
         if (known->second.empty()) {
             by_server_.erase(known);
         }
     }
-    request->server = server;
-    if (!server.is_empty()) {
+    request->servers = std::move(servers);
+    for (const server_name& server : request->servers) {
         by_server_[server].insert(ticket);
     }
 }
@@ -123,7 +124,8 @@
     if (const auto waiting = by_server_.find(server); waiting != by_server_.end()) {
         for (const waiting_ticket other : waiting->second) {
             if (other != ticket && goes_before(other, ticket, now)) {
-                tokens += entries_.at(other).unread_tokens;
+                const waiting_request& request = entries_.at(other);
+                tokens += request.unread_tokens / std::max<std::size_t>(1, request.servers.size());
             }
         }
     }
