Requests with cached prompts or unknown size get a share of the room

Cause: a share follows from the prompt tokens to prefill, so that a request without any had none and would have waited until its deadline while other gateways use the engine.

--- a/modules/serving/engine_room.cpp
+++ b/modules/serving/engine_room.cpp
@@ -82,7 +82,9 @@
         std::max<std::uint64_t>(1, waiting.waiting_tokens + sent_tokens(engine.listing.name, now).at(rank)));
     // What others want may rise from nothing within the lag, so at least this is assumed of them.
     const double others = 1.0 - 1.0 / static_cast<double>(gateways_);
-    const double assumed = assumed_inflow * others * bounds.tokens_per_ms * to_ms(report_lag);
+    const double most_by_gateways = 2.0 * mean_unread_tokens_ * static_cast<double>(gateways_ - 1);
+    const double assumed =
+        std::min(most_by_gateways, assumed_inflow * others * bounds.tokens_per_ms * to_ms(report_lag));
     const auto known = static_cast<double>(peers.at(rank));
     const double round = rounding(engine, report_lag, now);
     const double isolated_round = rounding(engine, isolated_period, now);
--- a/modules/serving/request_placement.cpp
+++ b/modules/serving/request_placement.cpp
@@ -37,6 +37,9 @@
 /** Weight of earlier waits when a new one is observed, and the largest correction by them. */
 constexpr double wait_memory = 0.98;
 constexpr double max_wait_factor = 3.0;
+/** A request counts as at least this many tokens. Without it, a cached prompt, or one of unknown size, would
+   have no share of the room. */
+constexpr std::uint64_t min_request_tokens = 500;
 /** Most engines for which a request waits at the same time. */
 constexpr std::size_t max_waited_for = 8;
 /** Number of gateways that avoid an engine before requests that have a choice do. */
@@ -61,6 +64,11 @@
     return names;
 }
 
+request_size counted_size(const request_size& size) {
+    return {std::max(size.unread_tokens, min_request_tokens),
+            std::max(size.memory_tokens, min_request_tokens)};
+}
+
 duration scaled(duration value, double factor) {
     return std::chrono::duration_cast<duration>(value * factor);
 }
@@ -95,8 +103,8 @@
 
 request_size request_placement::size_on(const backend& engine, const entry& known,
                                         const selection_request& work, time_point now) const {
-    return {selector_.uncached_tokens(engine, work, now),
-            std::uint64_t{work.prompt_tokens} + known.terms.output_tokens};
+    return counted_size({selector_.uncached_tokens(engine, work, now),
+                         std::uint64_t{work.prompt_tokens} + known.terms.output_tokens});
 }
 
 bool request_placement::has_room(const backend& engine, waiting_ticket ticket, const entry& known,
@@ -297,7 +305,7 @@
     request.rank = terms.rank;
     request.arrived = terms.arrived;
     request.deadline = terms.deadline;
-    room_.on_sent(server, size, waiting_requests::effective_rank(request, now), now);
+    room_.on_sent(server, counted_size(size), waiting_requests::effective_rank(request, now), now);
     queue_.on_served(terms.account, size.memory_tokens, now);
 }
 
