No co_await within initialisers and no temporaries in an awaited call

Cause: request_waits_until_the_engine_has_a_free_slot_if_that_is_bounded hung twice and ended by a segmentation fault once; GCC 12 is suspected to destroy temporaries of such expressions twice. Change: the executor, the terms and the function are variables before the call.

--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -366,8 +366,10 @@
         const auto choice = state_.selector.pick(state_.directory, state_.versions, work_, now);
         co_return placement{choice ? placement_outcome::send : placement_outcome::no_server, choice};
     }
-    const placement place = co_await state_.scheduler.wait_for_place(work_, make_placement_terms(),
-                                                                     [this] { return has_time_left(); });
+    placement_terms terms = make_placement_terms();
+    std::function<bool()> may_wait = [this] { return has_time_left(); };
+    const placement place =
+        co_await state_.scheduler.wait_for_place(work_, std::move(terms), std::move(may_wait));
     if (place.outcome == placement_outcome::refuse) {
         last_error_ = fmt::format("there is no room for it before its deadline; expected after {} ms",
                                   to_ms(place.expected_wait));
--- a/modules/gateway/request_scheduler.cpp
+++ b/modules/gateway/request_scheduler.cpp
@@ -36,7 +36,8 @@
 asio::awaitable<placement> request_scheduler::wait_for_place(selection_request& work, placement_terms terms,
                                                              std::function<bool()> may_wait) {
     const waiting_ticket ticket = placement_.begin(terms, state_.now());
-    waiters_[ticket] = {&work, std::make_shared<asio::steady_timer>(co_await asio::this_coro::executor)};
+    const auto executor = co_await asio::this_coro::executor;
+    waiters_[ticket] = {&work, std::make_shared<asio::steady_timer>(executor)};
     placement result;
     std::exception_ptr thrown;
     try {
