--- a/modules/base/include/lovageledge/base/event_log.hpp
+++ b/modules/base/include/lovageledge/base/event_log.hpp
@@ -34,6 +34,7 @@
     request_cancelled = 406,
     message_given_up = 407,
     connections_closed = 408,
+    requests_waiting = 409,
     usage_cap_reached = 410,
     usage_cap_relieved = 411,
     adapter_load_ordered = 500,
--- a/modules/gateway/gateway_settings_test.cpp
+++ b/modules/gateway/gateway_settings_test.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(reports_line_and_field_of_an_invalid_accounting_of_usage_caps);
     CPPUNIT_TEST(reads_the_limit_of_strict_revocation);
     CPPUNIT_TEST(reads_the_limits_on_callers);
+    CPPUNIT_TEST(waiting_is_bounded_only_if_set);
     CPPUNIT_TEST_SUITE_END();
 
     std::vector<std::string> errors_;
@@ -99,6 +100,15 @@
         CPPUNIT_ASSERT(errors_.front().rfind("line 18, [limits] unread_response_ms", 0) == 0);
     }
 
+    // Deployments without the setting must not change their behaviour.
+    void waiting_is_bounded_only_if_set() {
+        CPPUNIT_ASSERT(!parse_gateway_settings(valid_settings, errors_)->is_waiting_bounded);
+        CPPUNIT_ASSERT(parse_gateway_settings(valid_settings + "[waiting]\nbounded = true\n", errors_)
+                           ->is_waiting_bounded);
+        CPPUNIT_ASSERT(!parse_gateway_settings(valid_settings + "[waiting]\nbounded = 1\n", errors_));
+        CPPUNIT_ASSERT(errors_.front() == "line 18, [waiting] bounded: expected true or false");
+    }
+
     void rejects_unknown_fields() {
         CPPUNIT_ASSERT(!parse_gateway_settings(valid_settings + "[policy]\nspeed = 1\n", errors_));
     }
--- a/modules/service/decision_log.cpp
+++ b/modules/service/decision_log.cpp
@@ -61,6 +61,8 @@
         return "usage_cap_reached";
     case event::usage_cap_relieved:
         return "usage_cap_relieved";
+    case event::requests_waiting:
+        return "requests_waiting";
     case event::adapter_load_ordered:
         return "adapter_load_ordered";
     case event::adapter_load_failed:
