Learned speeds of servers

Cause: a quarter of a deployment's engines may be half as fast as the others, while the estimates know one speed. Change: server_speed learns each server's times relative to its service, gateways exchange differences of more than a tenth, and the estimates of server_selector use them.

--- a/modules/base/include/lovageledge/base/event_log.hpp
+++ b/modules/base/include/lovageledge/base/event_log.hpp
@@ -51,6 +51,7 @@
     backend_leaving = 324,
     backend_paused = 325,
     backend_header_malformed = 326,
+    backend_speed_changed = 327,
     order_domain_taken = 330,
     order_domain_lost = 331,
     order_authority_gained = 332,
--- a/modules/gateway/include/lovageledge/gateway/gateway_state.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway_state.hpp
@@ -41,6 +41,7 @@
     std::shared_ptr<const route_table> routes;
     version_registry versions;
     server_selector selector;
+    server_speed speeds;
     retry_budget retries;
     demand_meter demand;
     /** Requests that crash the servers that run them. */
--- a/modules/gateway/include/lovageledge/gateway/load_exchange.hpp
+++ b/modules/gateway/include/lovageledge/gateway/load_exchange.hpp
@@ -2,6 +2,7 @@
 
 #include "lovageledge/gateway/gateway_state.hpp"
 #include "lovageledge/gateway/peer_directory.hpp"
+#include "lovageledge/gateway/speed_exchange.hpp"
 
 #include <functional>
 #include <map>
@@ -111,6 +112,7 @@
     reported_work reported_to_holder_;
     /** Work at each other data centre's servers that was last reported to its holder. */
     std::map<data_centre_name, reported_work> reported_to_remote_;
+    speed_exchange speeds_;
     struct last_summary {
         std::string bytes;
         time_point sent{};
--- a/modules/gateway/include/lovageledge/gateway/request_handler.hpp
+++ b/modules/gateway/include/lovageledge/gateway/request_handler.hpp
@@ -109,6 +109,8 @@
     void on_caller_gone();
     void on_stream_started();
     void release_pending_tokens();
+    /** Records how long the server took until its response began, unless other causes may have delayed it. */
+    void observe_speed();
     /** Derives what may be to blame if a server ends under the request: itself and the parts of its prompt
         that other requests may share. */
     void find_suspects();
@@ -153,6 +155,11 @@
     server_name current_server_;
     /** When the current attempt was sent. */
     time_point sent_at_{};
+    /** The current attempt's number in state_.speeds. */
+    std::uint64_t speed_observation_ = 0;
+    /** The request has waited for the load of an adapter on any server. */
+    bool has_waited_for_load_ = false;
+    stream_timing stream_events_;
     /** How the end of the current answer's body is told. */
     body_framing framing_ = body_framing::none;
     /** Bytes of the current answer's body so far. */
--- a/modules/gateway/load_exchange.cpp
+++ b/modules/gateway/load_exchange.cpp
@@ -64,7 +64,7 @@
 
 load_exchange::load_exchange(gateway_state& state, peer_directory& peers,
                              std::function<void(const server_name&, const adapter_ref&)> on_used)
-    : state_{state}, peers_{peers}, on_used_{std::move(on_used)} {}
+    : state_{state}, peers_{peers}, on_used_{std::move(on_used)}, speeds_{state} {}
 
 void load_exchange::record_use(const server_name& server, const adapter_ref& ref) {
     recently_used_[server].insert(ref);
@@ -246,6 +246,7 @@
     }
     append_crashes(crash_registry::report_scope::standing, *beat.mutable_crashes());
     append_successes(success_scope::deployment, *beat.mutable_successes());
+    speeds_.fill(speed_scope::deployment, state_.settings.data_centre.text(), beat);
     peers_.send_to_data_centre(message);
     recently_used_.clear();
 }
@@ -268,7 +269,9 @@
     std::string bytes = summary.SerializeAsString();
     last_summary& last = last_summaries_[data_centre];
     const bool should_send = bytes != last.bytes || state_.now() - last.sent > resend_interval;
-    if (should_send) {
+    // Speeds fade all the time, so they are not compared with the last summary.
+    const bool has_speeds = speeds_.fill(speed_scope::data_centre, data_centre.text(), summary);
+    if (should_send || has_speeds) {
         last = {std::move(bytes), state_.now()};
         peers_.send(holder, message);
     }
@@ -286,6 +289,7 @@
     append_successes(success_scope::gateway, *own.mutable_successes());
     append_server_work([](const backend&) { return true; }, false, recently_used_, reported_to_holder_,
                        *own.mutable_work());
+    speeds_.fill(speed_scope::gateway, holder.text(), own);
     recently_used_.clear();
     recently_used_remote_.clear();
     peers_.send(holder, message);
@@ -335,6 +339,7 @@
 }
 
 void load_exchange::expire_silent_peers() {
+    speeds_.update();
     const time_point oldest = state_.now() - work_lifetime;
     std::erase_if(last_message_times_, [&](const auto& entry) {
         const bool is_silent = entry.second < oldest;
@@ -380,6 +385,7 @@
     reset_source(holder_source());
     apply_totals(holder_source(), beat.totals(), reported_to_holder_);
     apply_successes(success_scope::deployment, holder_source(), beat.successes());
+    speeds_.apply(speed_scope::deployment, holder_source().text(), beat);
     apply_crashes(from, beat.crashes());
 }
 
@@ -387,6 +393,7 @@
     reset_source(from);
     apply_work(from, state.work());
     apply_successes(success_scope::gateway, from, state.successes());
+    speeds_.apply(speed_scope::gateway, from.text(), state);
     apply_crashes(from, state.crashes());
     for (const protocol::ServerWork& item : state.work()) {
         const server_name name{item.server()};
@@ -407,6 +414,7 @@
     apply_work(source, work.work());
     apply_totals(source, work.totals(), reported_to_remote_[data_centre]);
     apply_successes(success_scope::data_centre, source, work.successes());
+    speeds_.apply(speed_scope::data_centre, source.text(), work);
     apply_crashes(from, work.crashes());
 }
 
--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -318,6 +318,7 @@
         if (!choice->needs_load) {
             co_return choice;
         }
+        has_waited_for_load_ = true;
         coordinator_.request_weights(choice->server, work_.weights);
         const bool is_held = co_await coordinator_.wait_for_weights(
             choice->server, work_.weights, std::min(state_.settings.load_wait, answer_limit() - now));
@@ -478,6 +479,8 @@
         co_return attempt_outcome::not_sent;
     }
     sent_at_ = state_.now();
+    speed_observation_ =
+        state_.speeds.on_sent(server, work_.needs_weights(), state_.is_local(listing.zone), sent_at_);
     framing_ = body_framing::none;
     received_bytes_ = 0;
     connection->send(make_request_head(server), exchange_.shared_body());
@@ -654,6 +657,13 @@
     if (server != nullptr && work_.needs_weights() && !is_counted_streaming_) {
         is_counted_streaming_ = true;
         ++server->streaming;
+        observe_speed();
+    }
+}
+
+void request_handler::observe_speed() {
+    if (attempts_ == 1 && !has_waited_for_load_) {
+        state_.speeds.on_response(speed_observation_, state_.now());
     }
 }
 
@@ -706,6 +716,9 @@
     if (is_success) {
         record_success(listing);
     }
+    if (is_success && !work_.needs_weights()) {
+        observe_speed();
+    }
     if (is_caller_gone_) {
         co_return attempt_outcome::finished;
     }
@@ -735,6 +748,7 @@
     const bool is_framed_by_events = is_resumable || framing_ == body_framing::close;
     const server_start_id server_start = make_server_start_id(listing.name, listing.started_at);
     framer_.begin_run();
+    stream_events_ = {};
     memory_share memory{state_.memory, memory_use::response, [connection] { connection->abort(); }};
     // Only complete events count as progress: a stalled server may still send a byte now and then.
     time_point last_progress = state_.now();
@@ -774,6 +788,7 @@
         }
         if (!bytes.empty()) {
             last_progress = state_.now();
+            stream_events_.on_events(bytes, last_progress);
             state_.crashes.on_received(server_start, connection->opened_at(), last_progress);
         }
         if (!bytes.empty() || is_end) {
@@ -795,6 +810,7 @@
         }
         if (is_end) {
             record_success(listing);
+            state_.speeds.on_stream_ended(listing, stream_events_, state_.now());
             co_await exchange_.end_stream();
             log_finished(head.status, "done");
             co_return attempt_outcome::finished;
--- a/modules/service/decision_log.cpp
+++ b/modules/service/decision_log.cpp
@@ -91,6 +91,8 @@
         return "backend_paused";
     case event::backend_header_malformed:
         return "backend_header_malformed";
+    case event::backend_speed_changed:
+        return "backend_speed_changed";
     case event::order_domain_taken:
         return "order_domain_taken";
     case event::order_domain_lost:
--- a/modules/serving/include/lovageledge/serving/backend_directory.hpp
+++ b/modules/serving/include/lovageledge/serving/backend_directory.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lovageledge/serving/server_notices.hpp"
+#include "lovageledge/serving/speed_estimate.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -87,6 +88,8 @@
 
     server_load_report load;
     time_point load_reported_at{};
+    /** How fast this start is, as far as it is known. */
+    speed_estimate speed;
     /** Requests of this instance that run or wait on the server. */
     std::uint32_t in_flight = 0;
     /** Streams among them whose first event has arrived. They pause while the engine reads prompts. */
--- a/modules/serving/include/lovageledge/serving/server_selector.hpp
+++ b/modules/serving/include/lovageledge/serving/server_selector.hpp
@@ -146,6 +146,9 @@
                           time_point now) const;
     duration estimate_engine(const backend& server, const selection_request& request, time_point now) const;
     duration estimate_plain_service(const backend& server, time_point now) const;
+    /** @returns the factor of a plain server's service time: the reported one while the report is fresh,
+        otherwise the learned one */
+    double plain_pace(const backend& server, time_point now) const;
     /** @returns a pseudo-random share of selector_settings::spread for this request and server */
     duration spread_cost(const backend& server, std::uint64_t request_key) const;
 
--- a/modules/serving/server_selector.cpp
+++ b/modules/serving/server_selector.cpp
@@ -17,6 +17,11 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>{value});
 }
 
+/** Leaves the time exactly as it is for a server of middle speed. */
+duration scaled(duration time, double factor) {
+    return factor == 1.0 ? time : std::chrono::duration_cast<duration>(time * factor);
+}
+
 void remove_oldest_prompt_part(backend& server) {
     const auto oldest =
         std::min_element(server.sent_prompt_parts.begin(), server.sent_prompt_parts.end(),
@@ -52,27 +57,33 @@
                                           time_point now) const {
     const double tokens =
         static_cast<double>(server.total_pending_tokens()) + uncached_tokens(server, request, now);
-    const duration prefill_time = milliseconds_of(tokens / settings_.prefill_tokens_per_ms);
+    const duration prefill_time =
+        milliseconds_of(tokens / settings_.prefill_tokens_per_ms * server.speed.response);
     duration estimate = prefill_time;
     if (prefill_time > settings_.pause_free_reading) {
         // Streams running on the engine pause while it reads prompts, so all of them are delayed.
         estimate += (prefill_time - settings_.pause_free_reading) * server.total_streaming() *
                     settings_.pause_weight_percent / 100;
     }
-    estimate += settings_.engine_running * server.total_in_flight();
+    estimate += scaled(settings_.engine_running * server.total_in_flight(), server.speed.event_interval);
     if (server.load_reported_at + settings_.load_report_lifetime >= now) {
-        estimate += settings_.engine_waiting * server.load.waiting;
+        estimate += scaled(settings_.engine_waiting * server.load.waiting, server.speed.response);
     }
     return estimate;
 }
 
+double server_selector::plain_pace(const backend& server, time_point now) const {
+    const bool is_report_valid = server.load_reported_at + settings_.load_report_lifetime >= now;
+    return is_report_valid ? server.load.pace_percent / 100.0 : server.speed.response;
+}
+
 duration server_selector::estimate_plain_service(const backend& server, time_point now) const {
     const bool is_report_valid = server.load_reported_at + settings_.load_report_lifetime >= now;
     const std::uint32_t reported = is_report_valid ? server.load.running + server.load.waiting : 0;
     const std::uint32_t busy = std::max(server.total_in_flight(), reported);
-    const double pace = is_report_valid ? server.load.pace_percent / 100.0 : 1.0;
     const double service_rounds = 1.0 + static_cast<double>(busy) / std::max(1U, server.listing.slots);
-    return std::chrono::duration_cast<duration>(settings_.plain_service_time * (service_rounds * pace));
+    return std::chrono::duration_cast<duration>(settings_.plain_service_time *
+                                                (service_rounds * plain_pace(server, now)));
 }
 
 bool server_selector::holds(const backend& server, const version_registry& versions,
