Tests of what counts as an observation of a server's speed

Cause: the wiring in request_handler had no test, and speed_exchange called a function that its template hid, so that did not build. Change: the free function has another name; the metric speed_observations_total counts what is judged by, and three tests of request_handler check that retries, refusals and waits for adapters are left out. The load test plays learning only.

--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -664,6 +664,7 @@
 void request_handler::observe_speed() {
     if (attempts_ == 1 && !has_waited_for_load_) {
         state_.speeds.on_response(speed_observation_, state_.now());
+        state_.counters.count("speed_observations_total");
     }
 }
 
--- a/modules/gateway/speed_exchange.cpp
+++ b/modules/gateway/speed_exchange.cpp
@@ -9,7 +9,7 @@
 /** Speeds change slowly, and in each heartbeat they would take much of a small gateway's link. */
 constexpr auto report_interval = std::chrono::seconds{1};
 
-void fill(const speed_report& report, protocol::ServerSpeed& entry) {
+void write(const speed_report& report, protocol::ServerSpeed& entry) {
     entry.set_server(report.server.text());
     entry.set_started_at(report.started_at);
     entry.set_response(static_cast<float>(report.response.log_factor));
@@ -37,7 +37,7 @@
 
 bool speed_exchange::append(speed_scope scope, protocol::SpeedList& list) const {
     for (const speed_report& report : state_.speeds.reports(scope, state_.now())) {
-        fill(report, *list.add_servers());
+        write(report, *list.add_servers());
     }
     return true;
 }
--- a/modules/serving/server_speed_load_test.cpp
+++ b/modules/serving/server_speed_load_test.cpp
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <deque>
 #include <iostream>
+#include <memory>
 #include <numbers>
 #include <queue>
 #include <random>
@@ -271,12 +272,14 @@
                 }
             }
         }
+        std::array<std::vector<speed_report>, data_centres> told;
+        for (std::size_t d = 0; d < data_centres; ++d) {
+            told[d] = gateways_[d].speeds.reports(speed_scope::deployment, now_);
+        }
         for (std::size_t g = 0; g < gateways; ++g) {
             gateway& own = gateways_[g];
             if (g >= data_centres) {
-                own.speeds.on_report(
-                    speed_scope::deployment, "holder",
-                    gateways_[data_centre_of(g)].speeds.reports(speed_scope::deployment, now_), now_);
+                own.speeds.on_report(speed_scope::deployment, "holder", told[data_centre_of(g)], now_);
             }
             own.speeds.update(own.directory, now_);
             const auto different =
@@ -316,27 +319,33 @@
     CPPUNIT_TEST(equal_servers_are_never_taken_for_different_ones);
     CPPUNIT_TEST_SUITE_END();
 
+    // Two periods of the demand are counted; in shorter runs a single queue of 2 s weighs too much. Without
+    // learning, the busiest server had 1.28 times the mean work and requests waited for 676 ms; with it 1.19
+    // times and 579 ms.
     void work_follows_the_speed_of_servers() {
-        const load_result learned = play({}, seconds{40}, seconds{10});
-        load_case without;
-        without.is_learning = false;
-        const load_result constant = play(without, seconds{40}, seconds{10});
-        std::cout << " busiest " << learned.busiest << " (" << constant.busiest << " without), wait "
-                  << learned.mean_wait_ms << " (" << constant.mean_wait_ms << ") ms, different "
-                  << learned.most_different;
-        CPPUNIT_ASSERT(learned.busiest < 1.25);
-        CPPUNIT_ASSERT(learned.mean_wait_ms < constant.mean_wait_ms);
+        const load_result result = play({}, seconds{40}, seconds{10});
+        describe(result);
+        CPPUNIT_ASSERT(result.busiest < 1.25);
+        CPPUNIT_ASSERT(result.mean_wait_ms < 640.0);
+        // A quarter of the servers is slow; few others may be taken for different.
+        CPPUNIT_ASSERT(result.most_different >= servers / 4);
+        CPPUNIT_ASSERT(result.most_different < servers / 3);
     }
 
+    // Unequal demand makes the waits at equal servers differ.
     void equal_servers_are_never_taken_for_different_ones() {
         load_case equal;
         equal.slow = 1.0;
         equal.fast = 1.0;
         const load_result result = play(equal, seconds{20}, seconds{5});
-        std::cout << " busiest " << result.busiest << " wait " << result.mean_wait_ms << " different "
-                  << result.most_different;
+        describe(result);
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, result.most_different);
     }
+
+    static void describe(const load_result& result) {
+        std::cout << " (busiest " << result.busiest << ", wait " << result.mean_wait_ms << " ms, different "
+                  << result.most_different << ")";
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(server_speed_load_test);
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -87,6 +87,9 @@
     CPPUNIT_TEST(servers_that_send_bytes_without_end_have_not_crashed);
     CPPUNIT_TEST(deadline_holds_while_the_server_keeps_sending);
     CPPUNIT_TEST(refusal_with_a_body_without_end_does_not_hold_the_request);
+    CPPUNIT_TEST(first_attempt_of_a_stream_is_observed_once);
+    CPPUNIT_TEST(retries_and_refused_requests_are_not_taken_for_slowness);
+    CPPUNIT_TEST(request_that_waited_for_its_adapter_is_not_taken_for_slowness);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* plain_path = "/plain/";
@@ -895,7 +898,62 @@
         CPPUNIT_ASSERT(elapsed < std::chrono::seconds{4});
     }
 
+    void first_attempt_of_a_stream_is_observed_once() {
+        scripted_server server{[](blocking_connection& connection, int) {
+            const std::string id = id_of(connection.read_message());
+            connection.write(stream_head(id) + chunk(event(1)) + chunk(event(2)) + stream_end);
+            connection.read_message();
+        }};
+        start({&server});
+        CPPUNIT_ASSERT(has_status(request(stream_path, "1"), 200));
+        CPPUNIT_ASSERT_EQUAL(1, observations());
+    }
+
+    // What a retry waits for began before the second server had the request, and a refusal says nothing.
+    void retries_and_refused_requests_are_not_taken_for_slowness() {
+        std::atomic<int> attempts{0};
+        const auto run = [&](blocking_connection& connection, int) {
+            const std::string id = id_of(connection.read_message());
+            if (++attempts == 1) {
+                connection.write(pause_answer(id, "1"));
+            } else {
+                connection.write(stream_head(id) + chunk(event(1)) + stream_end);
+            }
+            connection.read_message();
+        };
+        scripted_server first{run};
+        scripted_server second{run};
+        start({&first, &second});
+        CPPUNIT_ASSERT(has_status(request(stream_path, "1"), 200));
+        CPPUNIT_ASSERT_EQUAL(2, attempts.load());
+        CPPUNIT_ASSERT_EQUAL(0, observations());
+    }
+
+    // A server that loads an adapter may go on with it after the gateway knows that it is loaded.
+    void request_that_waited_for_its_adapter_is_not_taken_for_slowness() {
+        scripted_server server{[](blocking_connection& connection, int) {
+            const std::string id = id_of(connection.read_message());
+            connection.write(stream_head(id) + chunk(event(1)) + stream_end);
+            connection.read_message();
+        }};
+        start({&server});
+        asio::post(gateway_->context, [this] {
+            gateway_->state.directory.on_adapter_missing(server_name{"server-1"}, {"base", "a1"});
+            restore_adapter_later();
+        });
+        CPPUNIT_ASSERT(has_status(request(stream_path, "1"), 200));
+        CPPUNIT_ASSERT_EQUAL(0, observations());
+    }
+
 private:
+    /** @returns how many responses were counted as observations of a server's speed */
+    int observations() const {
+        const std::string text = gateway_->state.counters.text();
+        const std::string name = "\nledge_speed_observations_total ";
+        const std::size_t found = text.find(name);
+        return found == std::string::npos ? 0 : std::stoi(text.substr(found + name.size()));
+    }
+
     using resuming_script = std::function<void(blocking_connection& connection, const std::string& id)>;
 
     static std::string pause_answer(const std::string& id, const std::string& seconds) {
