Pace of a server that has just started or recovered

Cause: such a server is sent as much as any other at once, by all gateways. Change: server_pace limits the requests without a response by the server's own answers; server_selector treats a server without allowance as full.

--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -173,8 +173,14 @@
 
 void gateway::on_server(server_listing listing) {
     const server_name name = listing.name;
+    const backend* former = state_.directory.find(name);
+    const bool is_new_start = former == nullptr || former->listing.started_at < listing.started_at;
+    const pool_name service = listing.service;
     const bool has_changed = state_.directory.on_listed(std::move(listing), state_.now());
     const backend* server = state_.directory.find(name);
+    if (is_new_start) {
+        state_.pace.on_started(name, service, state_.directory.usable_servers(service).size(), state_.now());
+    }
     if (has_changed && server != nullptr) {
         const server_listing& entry = server->listing;
         state_.log.write(event::backend_listed,
@@ -186,6 +192,7 @@
 }
 
 void gateway::drop_server(const server_name& name) {
+    state_.pace.on_dropped(name);
     pool_.close_all(name);
     state_.log.write(event::backend_dropped, fmt::format("server={}", name.text()));
 }
--- a/modules/gateway/gateway_settings.cpp
+++ b/modules/gateway/gateway_settings.cpp
@@ -116,6 +116,8 @@
     reader.time_ms("bounds", "order_lease_ms", settings.succession.order_lease);
     reader.flag("bounds", "servers_check_fences", settings.succession.servers_check_fences);
     read_policy(reader, settings);
+    reader.flag("pace", "enabled", settings.pace.enabled);
+    reader.number("pace", "initial_requests", settings.pace.initial_requests, 1, 100'000);
     reader.text("log", "level", settings.log_level);
     read_fraction(reader, "limits", "link_mbps", settings.link_mbps);
     reader.number("limits", "connections", settings.connections, 16, 1'000'000);
--- a/modules/gateway/gateway_settings_test.cpp
+++ b/modules/gateway/gateway_settings_test.cpp
@@ -30,10 +30,20 @@
     CPPUNIT_TEST(reads_the_limits_of_order_holders);
     CPPUNIT_TEST(reports_a_flag_that_is_neither_true_nor_false);
     CPPUNIT_TEST(reads_the_memory_of_the_process);
+    CPPUNIT_TEST(servers_are_not_held_back_by_default);
     CPPUNIT_TEST_SUITE_END();
 
     std::vector<std::string> errors_;
 
+    // Deployments whose settings do not ask for it must behave as before.
+    void servers_are_not_held_back_by_default() {
+        CPPUNIT_ASSERT(!parse_gateway_settings(valid_settings, errors_)->pace.enabled);
+        const std::string given = valid_settings + "[pace]\nenabled = true\ninitial_requests = 9\n";
+        const auto settings = parse_gateway_settings(given, errors_);
+        CPPUNIT_ASSERT(settings && settings->pace.enabled);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{9}, settings->pace.initial_requests);
+    }
+
     void reads_valid_settings() {
         const auto settings =
             parse_gateway_settings(valid_settings + "[policy]\nother_home_ms = 7\n", errors_);
--- a/modules/gateway/gateway_state.cpp
+++ b/modules/gateway/gateway_state.cpp
@@ -13,7 +13,10 @@
                                                    on_given_up(use, bytes);
                                                })},
       codec{std::move(given_codec)}, platform{std::move(given_platform)}, store{platform.store},
-      selector{settings.selector, [this](const data_centre_name& name) { return is_local(name); }} {
+      selector{settings.selector, [this](const data_centre_name& name) { return is_local(name); }},
+      pace{settings.pace, settings.name.text()} {
+    selector.set_allowance_function(
+        [this](const backend& server, time_point at) { return pace.allowance(server.listing.name, at) > 0; });
     retries.set_allowance(settings.retries);
     versions.set_limit(settings.version_limit);
     crashes.set_on_withdrawn([this](const withdrawn_sighting& sighting) {
--- a/modules/gateway/include/lovageledge/gateway/gateway_settings.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway_settings.hpp
@@ -33,6 +33,7 @@
     duration version_limit = std::chrono::milliseconds{5000};
     retry_allowance retries;
     selector_settings selector;
+    pace_settings pace;
     planner_settings planner;
     succession_settings succession;
     /** Bandwidth of this instance's network link, in Mbit/s; 0 if unknown. */
--- a/modules/gateway/include/lovageledge/gateway/gateway_state.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway_state.hpp
@@ -42,6 +42,7 @@
     version_registry versions;
     server_selector selector;
     server_speed speeds;
+    server_pace pace;
     retry_budget retries;
     demand_meter demand;
     /** Requests that crash the servers that run them. */
--- a/modules/gateway/include/lovageledge/gateway/load_exchange.hpp
+++ b/modules/gateway/include/lovageledge/gateway/load_exchange.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lovageledge/gateway/gateway_state.hpp"
+#include "lovageledge/gateway/pace_monitor.hpp"
 #include "lovageledge/gateway/peer_directory.hpp"
 #include "lovageledge/gateway/speed_exchange.hpp"
 
@@ -113,6 +114,7 @@
     /** Work at each other data centre's servers that was last reported to its holder. */
     std::map<data_centre_name, reported_work> reported_to_remote_;
     speed_exchange speeds_;
+    pace_monitor pace_;
     struct last_summary {
         std::string bytes;
         time_point sent{};
--- a/modules/gateway/include/lovageledge/gateway/request_handler.hpp
+++ b/modules/gateway/include/lovageledge/gateway/request_handler.hpp
@@ -111,6 +111,8 @@
     void release_pending_tokens();
     /** Records how long the server took until its response began, unless other causes may have delayed it. */
     void observe_speed();
+    /** Ends the count of a request at its server whose response has not been observed. */
+    void end_pace_count(attempt_outcome result);
     /** Derives what may be to blame if a server ends under the request: itself and the parts of its prompt
         that other requests may share. */
     void find_suspects();
@@ -157,6 +159,9 @@
     time_point sent_at_{};
     /** The current attempt's number in state_.speeds. */
     std::uint64_t speed_observation_ = 0;
+    duration expected_time_{};
+    /** server_pace counts the current attempt as without a response. */
+    bool is_counted_by_pace_ = false;
     /** The request has waited for the load of an adapter on any server. */
     bool has_waited_for_load_ = false;
     stream_timing stream_events_;
--- a/modules/gateway/load_exchange.cpp
+++ b/modules/gateway/load_exchange.cpp
@@ -64,7 +64,7 @@
 
 load_exchange::load_exchange(gateway_state& state, peer_directory& peers,
                              std::function<void(const server_name&, const adapter_ref&)> on_used)
-    : state_{state}, peers_{peers}, on_used_{std::move(on_used)}, speeds_{state} {}
+    : state_{state}, peers_{peers}, on_used_{std::move(on_used)}, speeds_{state}, pace_{state} {}
 
 void load_exchange::record_use(const server_name& server, const adapter_ref& ref) {
     recently_used_[server].insert(ref);
@@ -340,6 +340,7 @@
 
 void load_exchange::expire_silent_peers() {
     speeds_.update();
+    pace_.update(peers_.all().size() + 1);
     const time_point oldest = state_.now() - work_lifetime;
     std::erase_if(last_message_times_, [&](const auto& entry) {
         const bool is_silent = entry.second < oldest;
--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -27,6 +27,8 @@
 constexpr int retry_after_latency_targets = 4;
 /** Most attempts per request, including failed connections and those that the server did not run. */
 constexpr std::uint32_t max_server_attempts = 4;
+/** A server that answers after fewer failures in succession has not recovered from a period of failures. */
+constexpr std::uint32_t min_failures_of_a_period = 2;
 /** Retry-After for transient conditions, such as a load in progress or a full queue. */
 constexpr auto retry_after_transient = milliseconds{400};
 /** Retry-After for a quarantined request, which keeps crashing servers until its caller changes it. */
@@ -367,6 +369,7 @@
     ++attempts_;
     const std::uint64_t started_at = server->listing.started_at;
     current_server_ = choice.server;
+    expected_time_ = choice.estimate;
     pending_tokens_ = state_.selector.uncached_tokens(*server, work_, state_.now());
     ++server->in_flight;
     is_counted_streaming_ = false;
@@ -387,6 +390,7 @@
         connection_.reset();
     }
     release_pending_tokens();
+    end_pace_count(result);
     server = state_.directory.find(choice.server);
     if (server != nullptr && server->listing.started_at == started_at) {
         --server->in_flight;
@@ -481,6 +485,8 @@
     sent_at_ = state_.now();
     speed_observation_ =
         state_.speeds.on_sent(server, work_.needs_weights(), state_.is_local(listing.zone), sent_at_);
+    state_.pace.on_sent(listing.name, sent_at_);
+    is_counted_by_pace_ = true;
     framing_ = body_framing::none;
     received_bytes_ = 0;
     connection->send(make_request_head(server), exchange_.shared_body());
@@ -546,6 +552,10 @@
         connection->abort();
         co_return has_stream_started_ ? attempt_outcome::stream_interrupted : attempt_outcome::unknown;
     }
+    if (const backend* current = state_.directory.find(listing.name);
+        current != nullptr && current->consecutive_failures >= min_failures_of_a_period) {
+        state_.pace.on_recovered(listing.name, state_.now());
+    }
     state_.directory.on_success(listing.name);
     attempt_outcome result = attempt_outcome::finished;
     if (route_->kind == request_kind::stream && is_success) {
@@ -577,6 +587,7 @@
         if (state_.directory.on_pause_requested(listing.name, listing.started_at, until, now)) {
             state_.log.write(event::backend_paused,
                              fmt::format("{} pause_ms={}", context, to_ms(*attributes.requested_pause)));
+            state_.pace.on_recovered(listing.name, until);
         }
     }
 }
@@ -662,12 +673,30 @@
 }
 
 void request_handler::observe_speed() {
-    if (attempts_ == 1 && !has_waited_for_load_) {
+    const bool was_expected = attempts_ == 1 && !has_waited_for_load_;
+    if (std::exchange(is_counted_by_pace_, false)) {
+        state_.pace.on_answered(current_server_, state_.now() - sent_at_, expected_time_, was_expected,
+                                state_.now());
+    }
+    if (was_expected) {
         state_.speeds.on_response(speed_observation_, state_.now());
         state_.counters.count("speed_observations_total");
     }
 }
 
+void request_handler::end_pace_count(attempt_outcome result) {
+    if (!std::exchange(is_counted_by_pace_, false)) {
+        return;
+    }
+    const bool has_failed =
+        result == attempt_outcome::unknown || result == attempt_outcome::stream_interrupted;
+    if (has_failed && !is_caller_gone_ && !is_ended_by_stop_) {
+        state_.pace.on_failed(current_server_, state_.now());
+    } else {
+        state_.pace.on_withdrawn(current_server_);
+    }
+}
+
 void request_handler::release_pending_tokens() {
     backend* server = state_.directory.find(current_server_);
     if (server != nullptr) {
--- a/modules/serving/include/lovageledge/serving/server_selector.hpp
+++ b/modules/serving/include/lovageledge/serving/server_selector.hpp
@@ -118,6 +118,12 @@
 
     void set_estimate_function(estimate_function estimate) { estimate_ = std::move(estimate); }
 
+    /** Sets what tells whether a server may get a request now. A server that may not is treated as full.
+        @see server_pace */
+    void set_allowance_function(std::function<bool(const backend&, time_point)> has_allowance) {
+        has_allowance_ = std::move(has_allowance);
+    }
+
     /** Picks one of the usable servers of the request's service.
         @returns nothing if no server can run the request */
     std::optional<server_choice> pick(backend_directory& directory, const version_registry& versions,
@@ -155,6 +161,7 @@
     selector_settings settings_;
     std::function<bool(const data_centre_name&)> is_local_;
     estimate_function estimate_;
+    std::function<bool(const backend&, time_point)> has_allowance_;
 };
 
 } // namespace lovageledge
--- a/modules/serving/include/lovageledge/serving/serving.hpp
+++ b/modules/serving/include/lovageledge/serving/serving.hpp
@@ -16,6 +16,7 @@
 #include "lovageledge/serving/reported_work.hpp"
 #include "lovageledge/serving/retry_budget.hpp"
 #include "lovageledge/serving/server_notices.hpp"
+#include "lovageledge/serving/server_pace.hpp"
 #include "lovageledge/serving/server_selector.hpp"
 #include "lovageledge/serving/server_speed.hpp"
 #include "lovageledge/serving/speed_estimate.hpp"
--- a/modules/serving/server_selector.cpp
+++ b/modules/serving/server_selector.cpp
@@ -178,7 +178,8 @@
         if (server->is_avoided(now) || server->avoided_by_others() >= min_avoiding_gateways) {
             cost += avoided_penalty;
         }
-        if (server->full_until > now) {
+        const bool is_held_back = has_allowance_ && !has_allowance_(*server, now);
+        if (server->full_until > now || is_held_back) {
             cost += settings_.full_penalty;
         }
         if (!best || cost < best_cost) {
--- a/modules/serving/server_selector_test.cpp
+++ b/modules/serving/server_selector_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(requests_are_spread_over_equal_servers);
     CPPUNIT_TEST(spread_never_outweighs_a_longer_queue);
     CPPUNIT_TEST(plain_service_prefers_the_shorter_queue);
+    CPPUNIT_TEST(server_without_allowance_is_treated_as_full);
     CPPUNIT_TEST_SUITE_END();
 
     const time_point now_{seconds{100}};
@@ -192,6 +193,16 @@
         }
     }
 
+    void server_without_allowance_is_treated_as_full() {
+        add("limited", "here", true);
+        add("far", "there", true);
+        selector_.set_allowance_function(
+            [](const backend& server, time_point) { return server.listing.name.text() != "limited"; });
+        CPPUNIT_ASSERT_EQUAL(std::string{"far"}, pick(make_request()));
+        directory_.find(server_name{"far"})->pending_tokens = 50'000;
+        CPPUNIT_ASSERT_EQUAL(std::string{"limited"}, pick(make_request()));
+    }
+
     void plain_service_prefers_the_shorter_queue() {
         add("busy", "here", false).in_flight = 12;
         add("idle", "here", false);
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -90,6 +90,7 @@
     CPPUNIT_TEST(first_attempt_of_a_stream_is_observed_once);
     CPPUNIT_TEST(retries_and_refused_requests_are_not_taken_for_slowness);
     CPPUNIT_TEST(request_that_waited_for_its_adapter_is_not_taken_for_slowness);
+    CPPUNIT_TEST(responses_and_failures_set_the_pace_of_a_recovered_server);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* plain_path = "/plain/";
@@ -945,7 +946,40 @@
         CPPUNIT_ASSERT_EQUAL(0, observations());
     }
 
+    // A place that is not freed would hold a sound server back for ever.
+    void responses_and_failures_set_the_pace_of_a_recovered_server() {
+        std::atomic<int> attempts{0};
+        scripted_server server{[&](blocking_connection& connection, int) {
+            for (std::string message; !(message = connection.read_message()).empty();) {
+                const std::string id = id_of(message);
+                if (++attempts == 1) {
+                    connection.write(stream_head(id) + chunk(event(1)) + stream_end);
+                } else if (attempts == 2) {
+                    connection.write(response("503 Busy", id_header(id) + "X-Not-Executed: 1\r\n", ""));
+                } else {
+                    connection.reset();
+                    return;
+                }
+            }
+        }};
+        gateway_settings given = settings();
+        given.pace = {true, 8};
+        start({&server}, given);
+        const server_name name{"server-1"};
+        gateway_->state.pace.on_recovered(name, gateway_->state.now());
+        request(once_path, "1");
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{9}, allowance(name));
+        request(once_path, "2");
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{9}, allowance(name));
+        request(once_path, "3", 1000);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{8}, allowance(name));
+    }
+
 private:
+    std::uint32_t allowance(const server_name& name) const {
+        return gateway_->state.pace.allowance(name, gateway_->state.now());
+    }
+
     /** @returns how many responses were counted as observations of a server's speed */
     int observations() const {
         const std::string text = gateway_->state.counters.text();
