--- a/modules/gateway/gateway_settings.cpp
+++ b/modules/gateway/gateway_settings.cpp
@@ -162,6 +162,8 @@
     read_policy(reader, settings);
     read_caps(reader, settings.caps);
     reader.flag("waiting", "bounded", settings.is_waiting_bounded);
+    reader.flag("pace", "enabled", settings.pace.enabled);
+    reader.number("pace", "initial_requests", settings.pace.initial_requests, 1, 100'000);
     reader.text("log", "level", settings.log_level);
     read_fraction(reader, "limits", "link_mbps", settings.link_mbps);
     reader.number("limits", "connections", settings.connections, 16, 1'000'000);
--- a/modules/gateway/gateway_state.cpp
+++ b/modules/gateway/gateway_state.cpp
@@ -33,7 +33,9 @@
                                                })},
       codec{std::move(given_codec)}, platform{std::move(given_platform)}, store{platform.store},
       selector{settings.selector, [this](const data_centre_name& name) { return is_local(name); }},
-      caps{settings.caps} {
+      pace{settings.pace, settings.name.text()}, caps{settings.caps} {
+    selector.set_allowance_function(
+        [this](const backend& server, time_point at) { return pace.allowance(server.listing.name, at) > 0; });
     retries.set_allowance(settings.retries);
     versions.set_limit(settings.version_limit);
     caps.set_on_refusing([this](const account_name& account, bool is_refusing, const cap_status& status) {
--- a/modules/gateway/include/lovageledge/gateway/gateway_settings.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway_settings.hpp
@@ -38,6 +38,7 @@
     duration revocation_limit = std::chrono::milliseconds{5000};
     retry_allowance retries;
     selector_settings selector;
+    pace_settings pace;
     planner_settings planner;
     succession_settings succession;
     cap_settings caps;
--- a/modules/gateway/include/lovageledge/gateway/gateway_state.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway_state.hpp
@@ -54,6 +54,8 @@
     std::shared_ptr<const route_table> routes;
     version_registry versions;
     server_selector selector;
+    server_speed speeds;
+    server_pace pace;
     /** Requests that wait for room on an engine. */
     request_scheduler scheduler{*this};
     retry_budget retries;
--- a/modules/gateway/include/lovageledge/gateway/load_exchange.hpp
+++ b/modules/gateway/include/lovageledge/gateway/load_exchange.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "lovageledge/gateway/gateway_state.hpp"
+#include "lovageledge/gateway/pace_monitor.hpp"
 #include "lovageledge/gateway/peer_directory.hpp"
+#include "lovageledge/gateway/speed_exchange.hpp"
 #include "lovageledge/gateway/usage_exchange.hpp"
 
 #include <functional>
@@ -117,6 +119,8 @@
     reported_work reported_to_holder_;
     /** Work at each other data centre's servers that was last reported to its holder. */
     std::map<data_centre_name, reported_work> reported_to_remote_;
+    speed_exchange speeds_;
+    pace_monitor pace_;
     struct last_summary {
         std::string bytes;
         time_point sent{};
--- a/modules/gateway/include/lovageledge/gateway/request_handler.hpp
+++ b/modules/gateway/include/lovageledge/gateway/request_handler.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "lovageledge/gateway/attempt_observer.hpp"
 #include "lovageledge/gateway/connection_pool.hpp"
 #include "lovageledge/gateway/gateway_state.hpp"
+#include "lovageledge/gateway/message_heads.hpp"
 #include "lovageledge/gateway/order_coordinator.hpp"
 
 #include <algorithm>
@@ -49,17 +51,6 @@
         failed,
     };
 
-    enum class body_framing : std::uint8_t {
-        /** There is no head yet. */
-        none,
-        length,
-        chunks,
-        /** By the end of the connection. */
-        close,
-    };
-
-    static std::string_view to_text(body_framing framing);
-    bool has_unambiguous_framing() const;
     /** @returns true if a response certainly belongs to the request that was last sent on a connection */
     bool is_response_to(const forwarding_connection& connection, const response_attributes& attributes) const;
     /** Asks for the decision on the request; decision_, route_ and deadline_ are set then. */
@@ -106,8 +97,8 @@
     attempt_outcome on_not_run_response(const server_name& server, const response_head& head,
                                         const response_attributes& attributes);
 
-    std::string make_request_head(const backend& server) const;
-    std::vector<http_header> forwarded_headers(const response_head& head) const;
+    /** @returns the head of this request for a server */
+    std::string make_forwarded_head(const backend& server) const;
     /** Decides whether to retry; if so, spends from the retry budget and logs it. */
     bool try_retry(attempt_outcome result, const server_choice& last_choice);
     /** @returns when the caller must have a response at the latest */
@@ -152,6 +143,11 @@
     server_name current_server_;
     /** When the current attempt was sent. */
     time_point sent_at_{};
+    duration expected_time_{};
+    attempt_observer observer_{state_};
+    /** The request has waited for the load of an adapter on any server. */
+    bool has_waited_for_load_ = false;
+    stream_timing stream_events_;
     /** How the end of the current answer's body is told. */
     body_framing framing_ = body_framing::none;
     /** Bytes of the current answer's body so far. */
--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -1,7 +1,6 @@
 #include "lovageledge/gateway/request_handler.hpp"
 
 #include <algorithm>
-#include <array>
 #include <nlohmann/json.hpp>
 #include <spdlog/fmt/fmt.h>
 
@@ -27,6 +26,8 @@
 constexpr int retry_after_latency_targets = 4;
 /** Most attempts per request, including failed connections and those that the server did not run. */
 constexpr std::uint32_t max_server_attempts = 4;
+/** A server that answers after fewer failures in succession has not recovered from a period of failures. */
+constexpr std::uint32_t min_failures_of_a_period = 2;
 /** Retry-After for transient conditions, such as a load in progress or a full queue. */
 constexpr auto retry_after_transient = milliseconds{400};
 /** A caller that leaves after waiting this long for a response may have left because the server has ended. */
@@ -40,24 +41,6 @@
 /** A request is refused if its first byte is expected only after this fraction of the remaining time. */
 constexpr double max_first_byte_share = 0.9;
 
-constexpr std::array<std::string_view, 9> connection_headers{
-    "connection", "keep-alive", "proxy-connection", "transfer-encoding", "content-length", "te", "trailer",
-    "upgrade",    "expect"};
-
-/** Header with which a client of server-sent events resumes a stream. */
-constexpr const char* last_event_id_header = "Last-Event-Id";
-
-bool is_connection_header(std::string_view name) {
-    return std::any_of(connection_headers.begin(), connection_headers.end(), [&](std::string_view known) {
-        return beast::iequals(beast::string_view{known.data(), known.size()},
-                              beast::string_view{name.data(), name.size()});
-    });
-}
-
-std::string_view to_string_view(beast::string_view text) {
-    return {text.data(), text.size()};
-}
-
 std::int64_t to_ms(duration value) {
     return std::chrono::duration_cast<milliseconds>(value).count();
 }
@@ -72,7 +55,7 @@
 asio::awaitable<void> request_handler::run() {
     attributes_ = state_.codec.read_request(exchange_.request());
     path_ = exchange_.path();
-    if (!has_unambiguous_framing()) {
+    if (!has_unambiguous_framing(exchange_.request())) {
         exchange_.close_after_response();
         co_await refuse(400, "ambiguous length of the body", std::nullopt);
         co_return;
@@ -93,30 +76,6 @@
     --state_.requests_in_progress;
 }
 
-std::string_view request_handler::to_text(body_framing framing) {
-    switch (framing) {
-    case body_framing::none:
-        return "none";
-    case body_framing::length:
-        return "length";
-    case body_framing::chunks:
-        return "chunks";
-    case body_framing::close:
-        return "close";
-    }
-    return "";
-}
-
-bool request_handler::has_unambiguous_framing() const {
-    const auto& request = exchange_.request();
-    const auto codings = request.count(http::field::transfer_encoding);
-    const auto lengths = request.count(http::field::content_length);
-    if (codings == 0) {
-        return lengths <= 1;
-    }
-    return codings == 1 && lengths == 0 && beast::iequals(request[http::field::transfer_encoding], "chunked");
-}
-
 void request_handler::decide_admission() {
     arriving_request request;
     const std::string host = exchange_.header("Host");
@@ -299,6 +258,7 @@
         if (!choice->needs_load) {
             co_return choice;
         }
+        has_waited_for_load_ = true;
         coordinator_.request_weights(choice->server, work_.weights);
         const bool is_held = co_await coordinator_.wait_for_weights(
             choice->server, work_.weights, std::min(state_.settings.load_wait, answer_limit() - now));
@@ -319,13 +279,18 @@
 
 placement_terms request_handler::make_placement_terms() const {
     placement_terms terms;
-    terms.rank = route_->priority;
+    terms.rank = decision_.priority;
+    if (decision_.account != nullptr) {
+        const usage_cap& cap = decision_.account->cap;
+        terms.account = decision_.account->name;
+        terms.account_weight = cap.is_limited() ? cap.rate_per_second : 1.0;
+    }
     terms.has_returned = attempts_ > 0;
     terms.arrived = started_;
     terms.target = started_ + route_->latency_target;
     terms.deadline = answer_limit();
     terms.output_tokens = attributes_.output_tokens;
-    terms.digest = suspects_.front().digest;
+    terms.digest = decision_.suspects.request().digest;
     if (const service_spec* service = routes_->find_service(work_.service); service && service->engine) {
         terms.slots = service->engine->slots;
         terms.memory_tokens = service->engine->kv_tokens;
@@ -383,6 +348,7 @@
     ++attempts_;
     const std::uint64_t started_at = server->listing.started_at;
     current_server_ = choice.server;
+    expected_time_ = choice.estimate;
     pending_tokens_ = state_.selector.uncached_tokens(*server, work_, state_.now());
     ++server->in_flight;
     is_counted_streaming_ = false;
@@ -409,6 +375,9 @@
         connection_.reset();
     }
     release_pending_tokens();
+    const bool has_failed =
+        result == attempt_outcome::unknown || result == attempt_outcome::stream_interrupted;
+    observer_.on_ended(has_failed && !is_caller_gone_ && !is_ended_by_stop_);
     server = state_.directory.find(choice.server);
     if (server != nullptr && server->listing.started_at == started_at) {
         --server->in_flight;
@@ -453,24 +422,7 @@
     co_return nullptr;
 }
 
-std::string request_handler::make_request_head(const backend& server) const {
-    const auto& request = exchange_.request();
-    std::string head = fmt::format("{} {} HTTP/1.1\r\n", to_string_view(request.method_string()),
-                                   to_string_view(request.target()));
-    const header_scope scope =
-        routes_->accounts().is_empty() ? header_scope::without_accounts : header_scope::with_accounts;
-    const std::string connection_tokens{request[http::field::connection]};
-    for (const auto& field : request) {
-        const std::string_view name = to_string_view(field.name_string());
-        const bool is_replaced = resume_after_ && beast::iequals(field.name_string(), last_event_id_header);
-        const bool is_dropped = is_connection_header(name) || state_.codec.is_reserved(name, scope) ||
-                                is_replaced ||
-                                (field.name() == http::field::unknown && !connection_tokens.empty() &&
-                                 http::token_list{connection_tokens}.exists(field.name_string()));
-        if (!is_dropped) {
-            head += fmt::format("{}: {}\r\n", name, to_string_view(field.value()));
-        }
-    }
+std::string request_handler::make_forwarded_head(const backend& server) const {
     forwarding_parameters parameters;
     parameters.server = server.listing.name;
     parameters.remaining = deadline_ - state_.now();
@@ -487,14 +439,9 @@
         }
     }
     parameters.resume_after = resume_after_;
-    state_.codec.append_parameters(head, parameters);
-    const bool has_body = !exchange_.body().empty() || request.count(http::field::content_length) > 0 ||
-                          request.count(http::field::transfer_encoding) > 0;
-    if (has_body) {
-        head += fmt::format("Content-Length: {}\r\n", exchange_.body().size());
-    }
-    head += "\r\n";
-    return head;
+    const header_scope scope =
+        routes_->accounts().is_empty() ? header_scope::without_accounts : header_scope::with_accounts;
+    return make_request_head(exchange_.request(), state_.codec, scope, parameters);
 }
 
 asio::awaitable<request_handler::attempt_outcome>
@@ -512,9 +459,10 @@
         co_return attempt_outcome::not_sent;
     }
     sent_at_ = state_.now();
+    observer_.on_sent(server, work_.needs_weights(), expected_time_);
     framing_ = body_framing::none;
     received_bytes_ = 0;
-    connection->send(make_request_head(server), exchange_.shared_body());
+    connection->send(make_forwarded_head(server), exchange_.shared_body());
     used_connections_.push_back(connection);
     state_.directory.on_sent(listing.name, state_.now());
     time_point limit = deadline_;
@@ -540,9 +488,7 @@
         }
         co_return has_stream_started_ ? attempt_outcome::stream_interrupted : attempt_outcome::unknown;
     }
-    framing_ = head->is_chunked       ? body_framing::chunks
-               : head->content_length ? body_framing::length
-                                      : body_framing::close;
+    framing_ = framing_of(*head);
     const bool is_other_server = attributes.server && *attributes.server != listing.name;
     if (!is_other_server) {
         const server_start_id server_start = make_server_start_id(listing.name, listing.started_at);
@@ -577,6 +523,10 @@
         connection->abort();
         co_return has_stream_started_ ? attempt_outcome::stream_interrupted : attempt_outcome::unknown;
     }
+    if (const backend* current = state_.directory.find(listing.name);
+        current != nullptr && current->consecutive_failures >= min_failures_of_a_period) {
+        state_.pace.on_recovered(listing.name, state_.now());
+    }
     state_.directory.on_success(listing.name);
     attempt_outcome result = attempt_outcome::finished;
     if (route_->kind == request_kind::stream && is_success) {
@@ -608,6 +558,7 @@
         if (state_.directory.on_pause_requested(listing.name, listing.started_at, until, now)) {
             state_.log.write(event::backend_paused,
                              fmt::format("{} pause_ms={}", context, to_ms(*attributes.requested_pause)));
+            state_.pace.on_recovered(listing.name, until);
         }
     }
 }
@@ -672,22 +623,13 @@
     return attempt_outcome::not_run;
 }
 
-std::vector<http_header> request_handler::forwarded_headers(const response_head& head) const {
-    std::vector<http_header> headers;
-    for (const http_header& header : head.headers) {
-        if (!is_connection_header(header.name)) {
-            headers.push_back(header);
-        }
-    }
-    return headers;
-}
-
 void request_handler::on_stream_started() {
     release_pending_tokens();
     backend* server = state_.directory.find(current_server_);
     if (server != nullptr && work_.needs_weights() && !is_counted_streaming_) {
         is_counted_streaming_ = true;
         ++server->streaming;
+        observer_.on_response_started(attempts_ == 1 && !has_waited_for_load_);
     }
 }
 
@@ -742,6 +684,9 @@
     if (is_success) {
         record_success(listing);
     }
+    if (is_success && !work_.needs_weights()) {
+        observer_.on_response_started(attempts_ == 1 && !has_waited_for_load_);
+    }
     if (is_caller_gone_) {
         co_return attempt_outcome::finished;
     }
@@ -771,6 +716,7 @@
     const bool is_framed_by_events = is_resumable || framing_ == body_framing::close;
     const server_start_id server_start = make_server_start_id(listing.name, listing.started_at);
     framer_.begin_run();
+    stream_events_ = {};
     memory_share memory{state_.memory, memory_use::response, [connection] { connection->abort(); }};
     // Only complete events count as progress: a stalled server may still send a byte now and then.
     time_point last_progress = state_.now();
@@ -810,6 +756,7 @@
         }
         if (!bytes.empty()) {
             last_progress = state_.now();
+            stream_events_.on_events(bytes, last_progress);
             state_.crashes.on_received(server_start, connection->opened_at(), last_progress);
         }
         if (!bytes.empty() || is_end) {
@@ -831,6 +778,7 @@
         }
         if (is_end) {
             record_success(listing);
+            state_.speeds.on_stream_ended(listing, stream_events_, state_.now());
             co_await exchange_.end_stream();
             log_finished(head.status, "done");
             co_return attempt_outcome::finished;
--- a/modules/gateway/request_scheduler.cpp
+++ b/modules/gateway/request_scheduler.cpp
@@ -25,8 +25,9 @@
 
 request_scheduler::request_scheduler(gateway_state& state)
     : state_{state}, placement_{state.settings.name, state.selector, state.directory, state.versions,
-                                [&state](const backend&) {
-                                    return state.settings.selector.prefill_tokens_per_ms;
+                                [&state](const backend& server) {
+                                    return state.settings.selector.prefill_tokens_per_ms /
+                                           std::max(0.1, static_cast<double>(server.speed.response));
                                 }} {}
 
 bool request_scheduler::is_responsible_for(const selection_request& work) const {
--- a/modules/serving/include/lovageledge/serving/server_selector.hpp
+++ b/modules/serving/include/lovageledge/serving/server_selector.hpp
@@ -121,6 +121,12 @@
 
     void set_estimate_function(estimate_function estimate) { estimate_ = std::move(estimate); }
 
+    /** Sets what tells whether a server may get a request now. A server that may not is treated as full.
+        @see server_pace */
+    void set_allowance_function(std::function<bool(const backend&, time_point)> has_allowance) {
+        has_allowance_ = std::move(has_allowance);
+    }
+
     /** Picks one of the usable servers of the request's service.
         @returns nothing if no server can run the request */
     std::optional<server_choice> pick(backend_directory& directory, const version_registry& versions,
@@ -149,12 +155,16 @@
                           time_point now) const;
     duration estimate_engine(const backend& server, const selection_request& request, time_point now) const;
     duration estimate_plain_service(const backend& server, time_point now) const;
+    /** @returns the factor of a plain server's service time: the reported one while the report is fresh,
+        otherwise the learned one */
+    double plain_pace(const backend& server, time_point now) const;
     /** @returns a pseudo-random share of selector_settings::spread for this request and server */
     duration spread_cost(const backend& server, std::uint64_t request_key) const;
 
     selector_settings settings_;
     std::function<bool(const data_centre_name&)> is_local_;
     estimate_function estimate_;
+    std::function<bool(const backend&, time_point)> has_allowance_;
 };
 
 } // namespace lovageledge
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -91,6 +91,10 @@
     CPPUNIT_TEST(cost_of_a_request_that_may_have_run_is_kept);
     CPPUNIT_TEST(request_waits_until_the_engine_has_a_free_slot_if_that_is_bounded);
     CPPUNIT_TEST(request_that_cannot_begin_before_its_deadline_is_refused_at_once);
+    CPPUNIT_TEST(first_attempt_of_a_stream_is_observed_once);
+    CPPUNIT_TEST(retries_and_refused_requests_are_not_taken_for_slowness);
+    CPPUNIT_TEST(request_that_waited_for_its_adapter_is_not_taken_for_slowness);
+    CPPUNIT_TEST(responses_and_failures_set_the_pace_of_a_recovered_server);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* plain_path = "/plain/";
@@ -1028,7 +1032,95 @@
         CPPUNIT_ASSERT(elapsed < std::chrono::seconds{4});
     }
 
+    void first_attempt_of_a_stream_is_observed_once() {
+        scripted_server server{[](blocking_connection& connection, int) {
+            const std::string id = id_of(connection.read_message());
+            connection.write(stream_head(id) + chunk(event(1)) + chunk(event(2)) + stream_end);
+            connection.read_message();
+        }};
+        start({&server});
+        CPPUNIT_ASSERT(has_status(request(stream_path, "1"), 200));
+        CPPUNIT_ASSERT_EQUAL(1, observations());
+    }
+
+    // What a retry waits for began before the second server had the request, and a refusal says nothing.
+    void retries_and_refused_requests_are_not_taken_for_slowness() {
+        std::atomic<int> attempts{0};
+        const auto run = [&](blocking_connection& connection, int) {
+            const std::string id = id_of(connection.read_message());
+            if (++attempts == 1) {
+                connection.write(pause_answer(id, "1"));
+            } else {
+                connection.write(stream_head(id) + chunk(event(1)) + stream_end);
+            }
+            connection.read_message();
+        };
+        scripted_server first{run};
+        scripted_server second{run};
+        start({&first, &second});
+        CPPUNIT_ASSERT(has_status(request(stream_path, "1"), 200));
+        CPPUNIT_ASSERT_EQUAL(2, attempts.load());
+        CPPUNIT_ASSERT_EQUAL(0, observations());
+    }
+
+    // A server that loads an adapter may go on with it after the gateway knows that it is loaded.
+    void request_that_waited_for_its_adapter_is_not_taken_for_slowness() {
+        scripted_server server{[](blocking_connection& connection, int) {
+            const std::string id = id_of(connection.read_message());
+            connection.write(stream_head(id) + chunk(event(1)) + stream_end);
+            connection.read_message();
+        }};
+        start({&server});
+        asio::post(gateway_->context, [this] {
+            gateway_->state.directory.on_adapter_missing(server_name{"server-1"}, {"base", "a1"});
+            restore_adapter_later();
+        });
+        CPPUNIT_ASSERT(has_status(request(stream_path, "1"), 200));
+        CPPUNIT_ASSERT_EQUAL(0, observations());
+    }
+
+    // A place that is not freed would hold a sound server back for ever.
+    void responses_and_failures_set_the_pace_of_a_recovered_server() {
+        std::atomic<int> attempts{0};
+        scripted_server server{[&](blocking_connection& connection, int) {
+            for (std::string message; !(message = connection.read_message()).empty();) {
+                const std::string id = id_of(message);
+                if (++attempts == 1) {
+                    connection.write(stream_head(id) + chunk(event(1)) + stream_end);
+                } else if (attempts == 2) {
+                    connection.write(response("503 Busy", id_header(id) + "X-Not-Executed: 1\r\n", ""));
+                } else {
+                    connection.reset();
+                    return;
+                }
+            }
+        }};
+        gateway_settings given = settings();
+        given.pace = {true, 8};
+        start({&server}, given);
+        const server_name name{"server-1"};
+        gateway_->state.pace.on_recovered(name, gateway_->state.now());
+        request(once_path, "1");
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{9}, allowance(name));
+        request(once_path, "2");
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{9}, allowance(name));
+        request(once_path, "3", 1000);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{8}, allowance(name));
+    }
+
 private:
+    std::uint32_t allowance(const server_name& name) const {
+        return gateway_->state.pace.allowance(name, gateway_->state.now());
+    }
+
+    /** @returns how many responses were counted as observations of a server's speed */
+    int observations() const {
+        const std::string text = gateway_->state.counters.text();
+        const std::string name = "\nledge_speed_observations_total ";
+        const std::size_t found = text.find(name);
+        return found == std::string::npos ? 0 : std::stoi(text.substr(found + name.size()));
+    }
+
     using resuming_script = std::function<void(blocking_connection& connection, const std::string& id)>;
 
     static std::string pause_answer(const std::string& id, const std::string& seconds) {
