What a deployment says of caps and revocation comes as environment variables

Change: LEDGE_CAP_WINDOW_S, LEDGE_CAP_TOLERANCE, LEDGE_CAP_SLACK, LEDGE_REVOCATION_STRICT and LEDGE_REVOCATION_LIMIT_MS (options of the command line too) go before the settings file; an empty one changes nothing. Conclusion: deployments without these fields start as before, also under older renderers.

--- a/programs/gateway/main.cpp
+++ b/programs/gateway/main.cpp
@@ -164,6 +164,48 @@
     std::_Exit(0);
 }
 
+/** What a deployment says about client accounts in place of the settings file. A deployment without accounts
+    has no values for it, and an empty variable leaves the setting as it is. */
+struct account_settings {
+    std::optional<double> cap_window_s;
+    std::optional<double> cap_tolerance;
+    std::optional<double> cap_slack;
+    std::optional<bool> is_revocation_strict;
+    std::optional<std::uint32_t> revocation_limit_ms;
+};
+
+/** Adds the options to the command line. @returns their values, which are set when it is parsed */
+std::unique_ptr<account_settings> add_account_options(CLI::App& app) {
+    auto values = std::make_unique<account_settings>();
+    app.add_option("--cap-window-s", values->cap_window_s, "[caps] window_s")
+        ->envname("LEDGE_CAP_WINDOW_S")
+        ->check(CLI::Range(1.0, 3600.0));
+    app.add_option("--cap-tolerance", values->cap_tolerance, "[caps] tolerance")
+        ->envname("LEDGE_CAP_TOLERANCE")
+        ->check(CLI::Range(0.0, 1.0));
+    app.add_option("--cap-slack", values->cap_slack, "[caps] slack")
+        ->envname("LEDGE_CAP_SLACK")
+        ->check(CLI::Range(0.0, 1e12));
+    app.add_option("--revocation-strict", values->is_revocation_strict, "[bounds] revocation_strict")
+        ->envname("LEDGE_REVOCATION_STRICT");
+    app.add_option("--revocation-limit-ms", values->revocation_limit_ms, "[bounds] revocation_limit_ms")
+        ->envname("LEDGE_REVOCATION_LIMIT_MS");
+    return values;
+}
+
+void apply(const account_settings& values, lovageledge::gateway_settings& settings) {
+    if (values.cap_window_s) {
+        settings.caps.window = std::chrono::duration_cast<lovageledge::duration>(
+            std::chrono::duration<double>{*values.cap_window_s});
+    }
+    settings.caps.tolerance = values.cap_tolerance.value_or(settings.caps.tolerance);
+    settings.caps.slack = values.cap_slack.value_or(settings.caps.slack);
+    settings.is_revocation_strict = values.is_revocation_strict.value_or(settings.is_revocation_strict);
+    if (values.revocation_limit_ms) {
+        settings.revocation_limit = std::chrono::milliseconds{*values.revocation_limit_ms};
+    }
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
@@ -182,6 +224,7 @@
         ->envname("LEDGE_MEMORY_MB")
         ->check(CLI::Range(lovageledge::gateway_settings::min_memory_mb,
                            lovageledge::gateway_settings::max_memory_mb));
+    const auto accounts = add_account_options(app);
     app.add_flag("--check", is_check_only, "check the settings and exit");
     CLI11_PARSE(app, argc, argv);
     auto settings = read_settings(path);
@@ -189,6 +232,7 @@
         return exit_bad_settings;
     }
     settings->memory_mb = memory_mb.value_or(settings->memory_mb);
+    apply(*accounts, *settings);
     if (is_check_only) {
         std::printf("%s: settings are valid\n", path.c_str());
         return 0;
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -31,24 +31,16 @@
 
 def fill_template(text, values):
     """Fills in the placeholders of deploy/gateway.ini.template, as the platform does."""
-    def lookup(path):
+    def section(match):
+        return "".join(match.group(2).replace("{{@}}", key).replace("{{.}}", value) for key, value in values[match.group(1)].items())
+    text = re.sub(r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}", section, text, flags=re.S)
+
+    def placeholder(match):
         value = values
-        for part in path.split("."):
+        for part in match.group(1).split("."):
             value = value[int(part)] if isinstance(value, list) else value[part]
-        return value
-
-    def section(match):
-        """Repeats the text for each entry of a table; otherwise it is rendered once if the value is present."""
-        try:
-            value = lookup(match.group(1))
-        except (KeyError, IndexError):
-            return ""
-        if not isinstance(value, dict):
-            return match.group(2)
-        return "".join(match.group(2).replace("{{@}}", key).replace("{{.}}", entry) for key, entry in value.items())
-    text = re.sub(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", section, text, flags=re.S)
-
-    return re.sub(r"\{\{([\w.]+)\}\}", lambda match: str(lookup(match.group(1))), text)
+        return str(value)
+    return re.sub(r"\{\{([\w.]+)\}\}", placeholder, text)
 
 
 class Machine:
