A finding of the linter in request_handler_test

Cause: a vector that grows in a loop without reserved capacity. Change: the capacity is reserved; the test checks the same.

--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -308,6 +308,7 @@
             const scripted_server server{slow(running, most)};
             start({&server}, is_bounded ? bounded_settings() : settings(), 1);
             std::vector<std::thread> callers;
+            callers.reserve(3);
             std::atomic<int> answered{0};
             for (int i = 0; i < 3; ++i) {
                 callers.emplace_back([&, i] {
