A broken line in the comment of the test runner

Cause: the last read-through found a comment that was wrapped in the middle of a sentence. Change: the comment only.

--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -8,9 +8,8 @@
 #include <string>
 
 // Runs all unit tests, or only the suite or test that the first argument names, qualified as in the output.
-// With
-// "--registry NAME", runs the tests of another registry, which are not part of all unit tests. Fails if no
-// test ran.
+// With "--registry NAME", runs the tests of another registry, which are not part of all unit tests. Fails if
+// no test ran.
 
 int main(int argc, char** argv) {
     CppUnit::TestResult results;
