Events tell which requests a gateway leaves unanswered, and when its thread stood still

Change: event 412 request_unanswered with cause, age, bytes read and bytes that the kernel holds, at most ten lines a second, and requests_unanswered_total by cause; event 104 event_loop_delayed; event 402 says what the kernel told of a caller that is gone. Reads of callers' connections have a time limit that leaves the socket open, since a closed one can't be asked; a request that is not complete in time now gets the 408 that was promised for it instead of a closed connection.

--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -45,6 +45,9 @@
     result.address_share = state.settings.address_share;
     result.socket_buffer_bytes = state.settings.socket_buffer_bytes();
     result.on_closed = [&state](const char* cause) { state.on_connection_closed(cause); };
+    result.on_unanswered = [&state](const unanswered_request& request) {
+        state.unanswered.add(request, state.now());
+    };
     result.header_bytes = limits.header_bytes;
     result.body_bytes = limits.body_bytes;
     result.connections = state.settings.connections;
@@ -106,6 +109,7 @@
         return false;
     }
     start_metrics();
+    loop_monitor_.start();
     state_.log.write(event::instance_started,
                      fmt::format("instance={} start={} region={} data_centre={} callers={} peers={}",
                                  settings.name.text(), settings.start.text(), settings.region.text(),
--- a/modules/gateway/include/lovageledge/gateway/gateway.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway.hpp
@@ -2,6 +2,7 @@
 
 #include "lovageledge/gateway/connection_pool.hpp"
 #include "lovageledge/gateway/gateway_state.hpp"
+#include "lovageledge/gateway/loop_monitor.hpp"
 #include "lovageledge/gateway/order_coordinator.hpp"
 #include "lovageledge/gateway/request_handler.hpp"
 
@@ -91,6 +92,7 @@
     http_server caller_server_;
     http_server readiness_server_;
     http_server metrics_server_;
+    loop_monitor loop_monitor_{context_, state_};
     bool has_server_list_ = false;
 };
 
--- a/modules/gateway/include/lovageledge/gateway/gateway_state.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway_state.hpp
@@ -2,6 +2,7 @@
 
 #include "lovageledge/gateway/gateway_settings.hpp"
 #include "lovageledge/gateway/request_scheduler.hpp"
+#include "lovageledge/gateway/unanswered_requests.hpp"
 #include "lovageledge/gateway/wire_codec.hpp"
 #include "lovageledge/service/decision_log.hpp"
 #include "lovageledge/service/metrics.hpp"
@@ -48,6 +49,7 @@
     runtime_clock clock;
     decision_log log{0};
     metrics counters;
+    unanswered_requests unanswered{log, counters};
 
     backend_directory directory;
     /** nullptr until the first configuration is received. */
--- a/modules/gateway/include/lovageledge/gateway/request_handler.hpp
+++ b/modules/gateway/include/lovageledge/gateway/request_handler.hpp
@@ -164,6 +164,8 @@
     std::optional<std::string> resume_after_;
     bool has_stream_started_ = false;
     bool is_caller_gone_ = false;
+    /** What was seen of the caller when it was taken to be gone. */
+    socket_input caller_input_ = socket_input::none;
     bool is_ended_by_stop_ = false;
     std::optional<response_head> error_response_head_;
     std::string error_response_body_;
--- /dev/null
+++ b/modules/gateway/loop_monitor.cpp
@@ -0,0 +1,35 @@
+#include "lovageledge/gateway/loop_monitor.hpp"
+
+#include <spdlog/fmt/fmt.h>
+
+namespace lovageledge {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr auto check_interval = milliseconds{250};
+/** Shorter delays are usual on an instance with a small share of a core. */
+constexpr auto min_logged_delay = milliseconds{200};
+
+} // namespace
+
+void loop_monitor::schedule() {
+    timer_.expires_after(check_interval);
+    timer_.async_wait([this](boost::system::error_code code) {
+        if (code) {
+            return;
+        }
+        const duration delay = std::chrono::steady_clock::now() - timer_.expiry();
+        state_.counters.observe("event_loop_delay_seconds", delay);
+        if (delay >= min_logged_delay) {
+            state_.log.write(event::event_loop_delayed,
+                             fmt::format("delay_ms={} requests={} config={}",
+                                         std::chrono::duration_cast<milliseconds>(delay).count(),
+                                         state_.requests_in_progress,
+                                         state_.routes ? state_.routes->version() : 0));
+        }
+        schedule();
+    });
+}
+
+} // namespace lovageledge
--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -449,6 +449,7 @@
     const server_listing listing = server.listing;
     if (is_caller_gone_ || exchange_.has_caller_left()) {
         is_caller_gone_ = true;
+        caller_input_ = exchange_.pending_input();
         last_error_ = "the caller left before the request was sent";
         pool_.release(listing, connection, state_.now());
         co_return attempt_outcome::not_sent;
@@ -769,6 +770,7 @@
             }
             if (!bytes.empty() && !co_await exchange_.write(bytes)) {
                 is_caller_gone_ = true;
+                caller_input_ = socket_input::failed;
             }
         }
         if (is_caller_gone_) {
@@ -824,6 +826,7 @@
 
 void request_handler::on_caller_gone() {
     is_caller_gone_ = true;
+    caller_input_ = exchange_.pending_input();
     state_.scheduler.give_up(work_);
     if (connection_) {
         connection_->abort();
@@ -887,11 +890,11 @@
     state_.log.write(
         event::request_finished,
         fmt::format("request={} outcome={} status={} attempts={} runs={} ms={} route={} framing={} "
-                    "account={} why=\"{}\"",
+                    "account={} caller={} why=\"{}\"",
                     attributes_.id.text(), outcome, status, attempts_, possible_runs_, to_ms(elapsed),
                     route_ == nullptr ? "" : route_->name, to_text(framing_),
                     decision_.account == nullptr ? "" : decision_.account->name.text(),
-                    outcome == "done" ? "" : last_error_));
+                    to_text(caller_input_), outcome == "done" ? "" : last_error_));
 }
 
 } // namespace lovageledge
--- a/modules/service/decision_log.cpp
+++ b/modules/service/decision_log.cpp
@@ -61,6 +61,8 @@
         return "usage_cap_reached";
     case event::usage_cap_relieved:
         return "usage_cap_relieved";
+    case event::request_unanswered:
+        return "request_unanswered";
     case event::requests_waiting:
         return "requests_waiting";
     case event::adapter_load_ordered:
@@ -83,6 +85,8 @@
         return "fingerprint_cleared";
     case event::settings_reloaded:
         return "settings_reloaded";
+    case event::event_loop_delayed:
+        return "event_loop_delayed";
     case event::dependency_lost:
         return "dependency_lost";
     case event::reading_source_changed:
--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -103,28 +103,6 @@
     return static_cast<std::size_t>(std::count(begin, begin + bytes.size(), '\n'));
 }
 
-/** Reads more of a request into a buffer. */
-asio::awaitable<boost::system::error_code> read_more(beast::tcp_stream& stream, beast::flat_buffer& buffer,
-                                                     http::request_parser<http::string_body>& parser) {
-    const std::size_t room = std::min(buffer.max_size() - buffer.size(), read_buffer_bytes);
-    if (room == 0) {
-        co_return http::error::buffer_overflow;
-    }
-    boost::system::error_code code;
-    const std::size_t size = co_await stream.async_read_some(buffer.prepare(room),
-                                                             asio::redirect_error(asio::use_awaitable, code));
-    buffer.commit(size);
-    if (code == asio::error::eof) {
-        code = {};
-        if (parser.got_some()) {
-            parser.put_eof(code);
-        } else {
-            code = http::error::end_of_stream;
-        }
-    }
-    co_return code;
-}
-
 std::string percent_decoded(std::string_view text) {
     std::string decoded;
     for (std::size_t i = 0; i < text.size(); ++i) {
@@ -426,7 +404,7 @@
                                                             [this] { drop("memory"); }},
       hooks_{[this](std::size_t bytes) { on_sending(bytes); }, [this](bool is_taken) { on_sent(is_taken); },
              [this] { return hold_bytes(memory_.counted() + limits_.socket_buffer_bytes); }},
-      address_{std::move(address)} {
+      address_{std::move(address)}, opened_at_{steady_now()} {
     ++open_->count;
     const std::scoped_lock lock{open_->mutex};
     id_ = open_->next_id++;
@@ -443,6 +421,30 @@
     --open_->count;
 }
 
+asio::awaitable<void> http_server::connection::read_some(std::size_t max_bytes, time_point limit,
+                                                         boost::system::error_code& code) {
+    const std::size_t size = co_await reader_.read_some(buffer_.prepare(max_bytes), limit, code);
+    buffer_.commit(size);
+    read_bytes_ += size;
+}
+
+void http_server::connection::begin_request() {
+    ++begun_requests_;
+    read_bytes_ = buffer_.size();
+}
+
+void http_server::connection::report_unanswered(const char* cause) {
+    unanswered_request request;
+    request.cause = cause;
+    request.connection_age = steady_now() - opened_at_;
+    request.former_requests = begun_requests_ - 1;
+    request.read_bytes = read_bytes_;
+    request.unread_bytes = unread_bytes(stream_.socket());
+    if (limits_.on_unanswered && request.read_bytes + request.unread_bytes > 0) {
+        limits_.on_unanswered(request);
+    }
+}
+
 void http_server::connection::set_stage(connection_stage stage) {
     stage_ = stage;
     const std::scoped_lock lock{open_->mutex};
@@ -509,6 +511,7 @@
 
 void http_server::connection::mark_dropped(const char* cause) {
     is_dropped_ = true;
+    drop_cause_ = cause;
     open_->policy.close(id_);
     if (limits_.on_closed) {
         limits_.on_closed(cause);
@@ -563,7 +566,7 @@
     return true;
 }
 
-bool http_server::make_place(asio::ip::tcp::socket& socket, const std::string& address) {
+const char* http_server::make_place(asio::ip::tcp::socket& socket, const std::string& address) {
     const char* cause = nullptr;
     if (socket.native_handle() >= descriptor_limit_) {
         cause = "descriptors";
@@ -571,13 +574,17 @@
         const std::scoped_lock lock{open_->mutex};
         cause = open_->policy.is_full_for(address) ? "connections" : nullptr;
     }
-    if (cause == nullptr || drop_one(address, cause)) {
-        return true;
-    }
+    return cause == nullptr || drop_one(address, cause) ? nullptr : cause;
+}
+
+void http_server::report_unaccepted(asio::ip::tcp::socket& socket, const char* cause) {
     if (limits_.on_closed) {
         limits_.on_closed(cause);
     }
-    return false;
+    const std::size_t unread = unread_bytes(socket);
+    if (limits_.on_unanswered && unread > 0) {
+        limits_.on_unanswered({cause, duration::zero(), 0, 0, unread});
+    }
 }
 
 asio::awaitable<void> http_server::accept_loop() {
@@ -595,7 +602,8 @@
             continue;
         }
         std::string address = peer.address().to_string();
-        if (!make_place(socket, address)) {
+        if (const char* cause = make_place(socket, address); cause != nullptr) {
+            report_unaccepted(socket, cause);
             continue;
         }
         socket.set_option(asio::ip::tcp::no_delay{true}, code);
@@ -665,17 +673,38 @@
         caller.buffer().shrink_to_fit();
     }
     boost::system::error_code code;
-    caller.stream().expires_after(limits_.idle_timeout);
-    const std::size_t size = co_await caller.stream().async_read_some(
-        caller.buffer().prepare(idle_buffer_bytes), asio::redirect_error(asio::use_awaitable, code));
-    caller.buffer().commit(size);
+    const time_point limit = steady_now() + limits_.idle_timeout;
+    co_await caller.read_some(idle_buffer_bytes, limit, code);
+    const bool is_closed_here = code == beast::error::timeout || code == asio::error::operation_aborted;
+    if (is_closed_here) {
+        caller.report_unanswered(caller.close_cause(is_closing_ ? "stopping" : "idle"));
+    }
     co_return !code;
 }
 
+asio::awaitable<boost::system::error_code>
+http_server::read_more(connection& caller, http::request_parser<http::string_body>& parser,
+                       time_point limit) {
+    const std::size_t room = std::min(caller.buffer().max_size() - caller.buffer().size(), read_buffer_bytes);
+    if (room == 0) {
+        co_return http::error::buffer_overflow;
+    }
+    boost::system::error_code code;
+    co_await caller.read_some(room, limit, code);
+    if (code == asio::error::eof) {
+        code = {};
+        if (parser.got_some()) {
+            parser.put_eof(code);
+        } else {
+            code = http::error::end_of_stream;
+        }
+    }
+    co_return code;
+}
+
 asio::awaitable<boost::system::error_code>
 http_server::read_request(connection& caller, http::request_parser<http::string_body>& parser) {
     const time_point deadline = steady_now() + limits_.request_timeout;
-    caller.stream().expires_at(deadline);
     boost::system::error_code code;
     std::size_t lines = count_lines(caller.buffer().data());
     while (!code && !parser.is_done()) {
@@ -705,7 +734,7 @@
             caller.enlarge_receive_buffer();
         }
         const std::size_t unread_size = caller.buffer().size();
-        code = co_await read_more(caller.stream(), caller.buffer(), parser);
+        code = co_await read_more(caller, parser, deadline);
         if (!parser.is_header_done()) {
             lines += count_lines(caller.buffer().data() + unread_size);
         }
@@ -743,7 +772,9 @@
     // The limit on headers may have grown since the connection was accepted.
     caller.buffer().max_size(
         std::max<std::size_t>(caller.buffer().max_size(), limits_.header_bytes + framing_bytes));
+    caller.begin_request();
     if (!caller.hold_idle()) {
+        caller.report_unanswered(caller.close_cause("memory"));
         co_return false;
     }
     if (caller.buffer().size() > 0) {
@@ -757,6 +788,7 @@
     }
     const bool has_begun = !caller.is_dropped() || caller.revive();
     if (!has_begun || (!caller.has_taken_responses() && !co_await wait_until_taken(caller))) {
+        caller.report_unanswered(caller.close_cause("reset"));
         co_return false;
     }
     caller.set_stage(connection_stage::receiving);
@@ -765,7 +797,11 @@
     parser->header_limit(limits_.header_bytes);
     parser->body_limit(limits_.body_bytes);
     const boost::system::error_code code = co_await read_request(caller, *parser);
-    if (code == http::error::end_of_stream || !caller.stream().socket().is_open()) {
+    if (code == http::error::end_of_stream) {
+        co_return false;
+    }
+    if (!caller.stream().socket().is_open()) {
+        caller.report_unanswered(caller.close_cause("reset"));
         co_return false;
     }
     if (code) {
@@ -773,6 +809,7 @@
         const bool has_no_room = caller.memory().is_cut();
         const bool is_refused = has_no_room ? discarding_ < max_discarding : !caller.is_dropped();
         if (!is_refused) {
+            caller.report_unanswered(caller.close_cause("memory"));
             reset(caller.stream());
             co_return false;
         }
@@ -781,6 +818,7 @@
         co_return false;
     }
     if (caller.is_dropped() && !caller.revive()) {
+        caller.report_unanswered(caller.close_cause("reset"));
         co_return false;
     }
     if (!caller.hold(request_bytes(*parser, caller.buffer(), 0) + parsed_head_bytes(*parser) +
--- a/modules/transport/include/lovageledge/transport/http_server.hpp
+++ b/modules/transport/include/lovageledge/transport/http_server.hpp
@@ -2,6 +2,9 @@
 
 #include "lovageledge/transport/caller_connections.hpp"
 #include "lovageledge/transport/http_connection.hpp"
+#include "lovageledge/transport/limited_reader.hpp"
+#include "lovageledge/transport/socket_input.hpp"
+#include "lovageledge/transport/unanswered_request.hpp"
 
 #include <atomic>
 #include <cstdint>
@@ -41,6 +44,9 @@
     /** Called with the cause of each connection that is closed for the sake of others: "connections",
         "memory", "descriptors" or "reading" (the response was not taken in time). */
     std::function<void(const char* cause)> on_closed;
+    /** Called before a connection is closed without a response to what was received on it. Not called when
+       the caller has closed it. */
+    std::function<void(const unanswered_request&)> on_unanswered;
 };
 
 /** What a connection is told about the response to its request. */
@@ -115,6 +121,8 @@
     /** @returns true if the caller is known to have closed its connection. Asks the kernel, so that a closure
         is noticed before on_close() reports it, which takes a turn of the executor. */
     bool has_caller_left();
+    /** @returns what the kernel holds of the caller's input */
+    socket_input pending_input() { return peek_input(stream_.socket()); }
     bool has_responded() const { return has_responded_; }
     bool is_aborted() const { return is_aborted_; }
     /** @returns true if the connection can serve another request after this one */
@@ -203,6 +211,16 @@
         beast::flat_buffer& buffer() { return buffer_; }
         const response_hooks& hooks() const { return hooks_; }
         memory_share& memory() { return memory_; }
+        /** Reads into the buffer. @param code as for limited_reader::read_some() */
+        asio::awaitable<void> read_some(std::size_t max_bytes, time_point limit,
+                                        boost::system::error_code& code);
+        /** Called when all that was received before belongs to requests that are answered. */
+        void begin_request();
+        /** Reports what was received and gets no response, if anything. @param cause see unanswered_request
+         */
+        void report_unanswered(const char* cause);
+        /** @returns why the connection is closed, for report_unanswered() */
+        const char* close_cause(const char* otherwise) const { return is_dropped_ ? drop_cause_ : otherwise; }
 
         void set_stage(connection_stage stage);
         /** Accounts for a request that is being received, with its parsed head and its body.
@@ -239,6 +257,12 @@
         response_hooks hooks_;
         std::string address_;
         std::uint64_t id_ = 0;
+        limited_reader reader_{stream_.socket()};
+        time_point opened_at_;
+        std::uint64_t begun_requests_ = 0;
+        /** Bytes of the current request that were read. */
+        std::size_t read_bytes_ = 0;
+        const char* drop_cause_ = "";
         /** Bytes of responses that the caller may not have taken yet. */
         std::size_t sent_bytes_ = 0;
         bool has_large_receive_buffer_ = false;
@@ -255,10 +279,15 @@
     asio::awaitable<bool> wait_until_taken(connection& caller);
     asio::awaitable<boost::system::error_code> read_request(connection& caller,
                                                             http::request_parser<http::string_body>& parser);
+    /** Reads more of a request into the connection's buffer. */
+    static asio::awaitable<boost::system::error_code>
+    read_more(connection& caller, http::request_parser<http::string_body>& parser, time_point limit);
     asio::awaitable<void> refuse_unread(connection& caller, boost::system::error_code code, bool has_no_room);
     static asio::awaitable<void> discard_input(beast::tcp_stream& stream);
-    /** Makes place for a new connection. @returns false if there is none, so that the new one is closed */
-    bool make_place(asio::ip::tcp::socket& socket, const std::string& address);
+    /** Makes place for a new connection. @returns nullptr, or what is short if there is no place, so that the
+        new connection is closed */
+    const char* make_place(asio::ip::tcp::socket& socket, const std::string& address);
+    void report_unaccepted(asio::ip::tcp::socket& socket, const char* cause);
     /** Closes the connection that the policy chooses for a new one from an address. @returns false if none */
     bool drop_one(const std::string& address, const char* cause);
     void apply_limits();
--- /dev/null
+++ b/tests/gateway/unanswered_requests_test.cpp
@@ -0,0 +1,129 @@
+#include "lovageledge/gateway/unanswered_requests.hpp"
+#include "lovageledge/transport/http_server.hpp"
+
+#include "scripted_server.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <future>
+#include <mutex>
+#include <spdlog/fmt/fmt.h>
+#include <thread>
+
+namespace lovageledge {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Requests that arrive while a connection is about to be closed, or while the server looks away. */
+class unanswered_requests_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(unanswered_requests_test);
+    CPPUNIT_TEST(part_of_a_request_on_a_connection_that_gives_way_is_reported);
+    CPPUNIT_TEST(connection_that_stays_idle_is_closed);
+    CPPUNIT_TEST(many_at_once_are_counted_and_few_are_logged);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr auto idle_timeout = milliseconds{300};
+
+    asio::io_context context_;
+    asio::io_context caller_context_;
+    std::unique_ptr<http_server> server_;
+    std::vector<std::thread> threads_;
+    std::mutex mutex_;
+    std::vector<unanswered_request> unanswered_;
+
+    static asio::awaitable<void> answer(http_exchange& exchange) { co_await exchange.respond(200, "whole"); }
+
+    void start(http_limits limits, int threads = 1, http_server::handler handler = answer) {
+        limits.on_unanswered = [this](const unanswered_request& request) {
+            const std::scoped_lock lock{mutex_};
+            unanswered_.push_back(request);
+        };
+        server_ = std::make_unique<http_server>(context_, limits, std::move(handler));
+        error why;
+        CPPUNIT_ASSERT_MESSAGE(why.text(), server_->listen("127.0.0.1:0", why));
+        for (int i = 0; i < threads; ++i) {
+            threads_.emplace_back([this] { context_.run(); });
+        }
+    }
+
+    blocking_connection connect() { return connect_to(caller_context_, server_->port()); }
+
+    static std::string request(const std::string& body = "body") {
+        return fmt::format("POST / HTTP/1.1\r\nHost: test\r\nContent-Length: {}\r\n\r\n{}", body.size(),
+                           body);
+    }
+
+    /** Opens a connection and leaves it waiting for its second request. */
+    blocking_connection connect_and_ask_once() {
+        blocking_connection caller = connect();
+        caller.write(request());
+        assert_answered(caller);
+        return caller;
+    }
+
+    static void assert_answered(blocking_connection& caller) {
+        const std::string response = caller.read_message();
+        CPPUNIT_ASSERT_MESSAGE("\"" + response + "\"", response.rfind("HTTP/1.1 200", 0) == 0);
+    }
+
+public:
+    void tearDown() override {
+        context_.stop();
+        for (std::thread& thread : threads_) {
+            thread.join();
+        }
+    }
+
+    void part_of_a_request_on_a_connection_that_gives_way_is_reported() {
+        http_limits limits;
+        limits.connections = 1;
+        start(limits);
+        blocking_connection caller = connect_and_ask_once();
+        const std::string part = request().substr(0, 20);
+        caller.write(part);
+        std::this_thread::sleep_for(milliseconds{50});
+        blocking_connection other = connect_and_ask_once();
+        CPPUNIT_ASSERT_EQUAL(std::string{}, caller.read_all());
+        const std::scoped_lock lock{mutex_};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, unanswered_.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"connections"}, std::string{unanswered_[0].cause});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, unanswered_[0].former_requests);
+        CPPUNIT_ASSERT_EQUAL(part.size(), unanswered_[0].read_bytes + unanswered_[0].unread_bytes);
+        CPPUNIT_ASSERT(unanswered_[0].connection_age >= milliseconds{50});
+    }
+
+    void connection_that_stays_idle_is_closed() {
+        http_limits limits;
+        limits.idle_timeout = idle_timeout;
+        start(limits);
+        blocking_connection caller = connect_and_ask_once();
+        const time_point began = std::chrono::steady_clock::now();
+        CPPUNIT_ASSERT_EQUAL(std::string{}, caller.read_all());
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - began >= idle_timeout / 2);
+        const std::scoped_lock lock{mutex_};
+        CPPUNIT_ASSERT(unanswered_.empty());
+    }
+
+    void many_at_once_are_counted_and_few_are_logged() {
+        constexpr int number = 1000;
+        decision_log log;
+        metrics counters;
+        unanswered_requests unanswered{log, counters};
+        const time_point now{std::chrono::seconds{100}};
+        for (int i = 0; i < number; ++i) {
+            unanswered.add({"idle", milliseconds{1}, 0, 0, 1}, now);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{10}, log.find("request_unanswered").size());
+        unanswered.add({"memory", milliseconds{1}, 0, 0, 1}, now + std::chrono::seconds{1});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log.find("cause=memory").size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log.find("not_logged=990").size());
+        const std::string text = counters.text();
+        CPPUNIT_ASSERT_MESSAGE(text, text.find("requests_unanswered_total{cause=\"idle\"} 1000") !=
+                                         std::string::npos);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(unanswered_requests_test);
+
+} // namespace
+} // namespace lovageledge
--- a/tests/support/scripted_server.cpp
+++ b/tests/support/scripted_server.cpp
@@ -110,6 +110,7 @@
 blocking_connection connect_to(asio::io_context& context, std::uint16_t port) {
     asio::ip::tcp::socket socket{context};
     socket.connect({asio::ip::make_address("127.0.0.1"), port});
+    socket.set_option(asio::ip::tcp::no_delay{true});
     return blocking_connection{std::move(socket)};
 }
 
