A caller that waits is not taken for gone when the wait for its input ends

Callers saw: a whole request got no response; the connection was reset, and the log told outcome caller_gone. Cause: on_close() took readiness without bytes, and any error of the wait, for the end of the connection. A wait also ends when it is cancelled, and, where several threads run the context as in ledged, when the bytes that woke it were read meanwhile by the handler that had been waiting for them. Class as before: an event stands for the state of the connection. Change: the kernel is asked; unless the caller has ended or reset the connection, the wait begins again.

--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -5,14 +5,12 @@
 #include <algorithm>
 #include <array>
 #include <cassert>
-#include <cerrno>
 #include <limits>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <nlohmann/json.hpp>
 #include <sys/ioctl.h>
 #include <sys/resource.h>
-#include <sys/socket.h>
 
 namespace lovageledge {
 namespace {
@@ -291,30 +289,34 @@
 
 void http_exchange::on_close(std::function<void()> callback) {
     close_callback_ = std::make_shared<std::function<void()>>(std::move(callback));
-    const std::weak_ptr<std::function<void()>> weak_callback = close_callback_;
     stream_.expires_never();
-    stream_.socket().async_wait(asio::socket_base::wait_read, [weak_callback,
-                                                               this](boost::system::error_code code) {
-        const auto locked_callback = weak_callback.lock();
-        if (!locked_callback) {
-            return; // The response was started; "this" may have been destroyed.
-        }
-        boost::system::error_code available_error;
-        const bool is_closed = code || stream_.socket().available(available_error) == 0 || available_error;
-        if (is_closed) {
-            (*locked_callback)();
-        }
-    });
+    watch_input();
+}
+
+void http_exchange::watch_input() {
+    const std::weak_ptr<std::function<void()>> weak_callback = close_callback_;
+    stream_.socket().async_wait(asio::socket_base::wait_read,
+                                [weak_callback, this](boost::system::error_code) {
+                                    const auto callback = weak_callback.lock();
+                                    if (!callback) {
+                                        return; // The response was started; "this" may have been destroyed.
+                                    }
+                                    switch (pending_input()) {
+                                    case socket_input::none:
+                                        watch_input();
+                                        return;
+                                    case socket_input::bytes:
+                                        return;
+                                    case socket_input::ended:
+                                    case socket_input::failed:
+                                        (*callback)();
+                                    }
+                                });
 }
 
 bool http_exchange::has_caller_left() {
-    if (is_aborted_ || !stream_.socket().is_open()) {
-        return true;
-    }
-    char byte = 0;
-    const ssize_t size = ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    const bool is_open = size > 0 || (size < 0 && (errno == EAGAIN || errno == EINTR));
-    return !is_open;
+    const socket_input input = is_aborted_ ? socket_input::failed : pending_input();
+    return input == socket_input::ended || input == socket_input::failed;
 }
 
 http_server::http_server(asio::io_context& context, http_limits limits, handler on_request)
--- a/modules/transport/include/lovageledge/transport/http_server.hpp
+++ b/modules/transport/include/lovageledge/transport/http_server.hpp
@@ -132,6 +132,9 @@
     /** Prepares to send a part of a response. @param bytes its size */
     void begin_write(std::size_t bytes);
     bool handle_write_result(boost::system::error_code code);
+    /** Waits for input, and calls the function of on_close() if the kernel confirms that there is none to
+     * come. */
+    void watch_input();
     asio::awaitable<bool> write_response(http::response<http::string_body> response);
     asio::awaitable<bool> write_head(http::response<http::empty_body> response);
 
--- a/tests/gateway/unanswered_requests_test.cpp
+++ b/tests/gateway/unanswered_requests_test.cpp
@@ -3,6 +3,7 @@
 
 #include "scripted_server.hpp"
 
+#include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
 #include <future>
 #include <mutex>
@@ -22,6 +23,9 @@
     CPPUNIT_TEST(request_on_a_connection_that_a_stop_closes_is_answered);
     CPPUNIT_TEST(request_that_arrives_with_the_end_of_a_response_is_answered_during_a_stop);
     CPPUNIT_TEST(request_that_is_not_complete_in_time_gets_408);
+    CPPUNIT_TEST(cancelled_wait_is_not_taken_for_the_callers_leaving);
+    CPPUNIT_TEST(callers_that_wait_are_not_taken_for_gone_with_several_threads);
+    CPPUNIT_TEST(callers_leaving_is_noticed);
     CPPUNIT_TEST(part_of_a_request_on_a_connection_that_gives_way_is_reported);
     CPPUNIT_TEST(connection_that_stays_idle_is_closed);
     CPPUNIT_TEST(many_at_once_are_counted_and_few_are_logged);
@@ -176,6 +180,86 @@
         }
     }
 
+    // Any end of the wait for the caller's input counted as its leaving, and the request was dropped.
+    void cancelled_wait_is_not_taken_for_the_callers_leaving() {
+        asio::ip::tcp::acceptor acceptor{context_, {asio::ip::address_v4::loopback(), 0}};
+        blocking_connection caller = connect_to(caller_context_, acceptor.local_endpoint().port());
+        beast::tcp_stream stream{acceptor.accept()};
+        const http_limits limits;
+        http_exchange exchange{stream, {}, limits};
+        bool has_left = false;
+        exchange.on_close([&] { has_left = true; });
+        stream.cancel();
+        context_.run_for(milliseconds{50});
+        CPPUNIT_ASSERT(!has_left);
+        caller.close();
+        context_.run_for(milliseconds{50});
+        CPPUNIT_ASSERT(has_left);
+    }
+
+    // With several threads, input that had been read meanwhile ended the wait for the caller's leaving.
+    void callers_that_wait_are_not_taken_for_gone_with_several_threads() {
+        constexpr int threads = 4;
+        constexpr int callers = 32;
+        constexpr auto run_time = std::chrono::seconds{3};
+        std::atomic<int> gone{0};
+        start(http_limits{}, threads, [&](http_exchange& exchange) -> asio::awaitable<void> {
+            exchange.on_close([&] { ++gone; });
+            asio::steady_timer timer{co_await asio::this_coro::executor, milliseconds{1}};
+            co_await timer.async_wait(asio::use_awaitable);
+            co_await exchange.respond(200, "whole");
+        });
+        const time_point end = std::chrono::steady_clock::now() + run_time;
+        std::atomic<int> answered{0};
+        std::vector<std::thread> senders;
+        for (int i = 0; i < callers; ++i) {
+            senders.emplace_back([&] {
+                asio::io_context own_context;
+                blocking_connection caller = connect_to(own_context, server_->port());
+                const std::string whole = request();
+                const std::size_t head = whole.find("\r\n\r\n") + 4;
+                while (std::chrono::steady_clock::now() < end) {
+                    caller.write(whole.substr(0, head));
+                    caller.write(whole.substr(head));
+                    if (caller.read_message().empty()) {
+                        return;
+                    }
+                    ++answered;
+                }
+            });
+        }
+        for (std::thread& sender : senders) {
+            sender.join();
+        }
+        CPPUNIT_ASSERT(answered > callers);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(fmt::format("of {}", answered.load()), 0, gone.load());
+    }
+
+    void callers_leaving_is_noticed() {
+        for (const bool resets : {false, true}) {
+            std::promise<void> left;
+            std::promise<void> begun;
+            context_.restart();
+            start(http_limits{}, 1, [&](http_exchange& exchange) -> asio::awaitable<void> {
+                asio::steady_timer timer{co_await asio::this_coro::executor, std::chrono::seconds{5}};
+                exchange.on_close([&] { timer.cancel(); });
+                begun.set_value();
+                boost::system::error_code code;
+                co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, code));
+                CPPUNIT_ASSERT(code == asio::error::operation_aborted);
+                left.set_value();
+            });
+            blocking_connection caller = connect();
+            caller.write(request());
+            begun.get_future().wait();
+            resets ? caller.reset() : caller.close();
+            const auto status = left.get_future().wait_for(std::chrono::seconds{2});
+            CPPUNIT_ASSERT(status == std::future_status::ready);
+            tearDown();
+            threads_.clear();
+        }
+    }
+
     void part_of_a_request_on_a_connection_that_gives_way_is_reported() {
         http_limits limits;
         limits.connections = 1;
