A stream that there is no memory for gets an answer

Cause: the memory for a forwarded stream was reserved after the response had counted as begun, so that all that was left was a reset. Class as before: a close where an answer is owed. Change: it is reserved before; without it the attempt ends as unknown, and the caller gets 502. Conclusion: an answer takes no more memory than the request did. Not shown with a gateway before a real crowd.

--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -762,6 +762,11 @@
         }
         if (!bytes.empty() || is_end) {
             on_stream_started();
+            if (!has_stream_started_ && !exchange_.reserve_stream()) {
+                connection->abort();
+                last_error_ = "there is no memory for the response";
+                co_return attempt_outcome::unknown;
+            }
             if (!has_stream_started_) {
                 has_stream_started_ = true;
                 state_.counters.observe("first_byte_seconds", state_.now() - started_);
--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -146,6 +146,10 @@
     return field == request_->end() ? std::string{} : std::string{field->value()};
 }
 
+bool http_exchange::reserve_stream() {
+    return hooks_ == nullptr || hooks_->reserve_stream();
+}
+
 void http_exchange::begin_write(std::size_t bytes) {
     stream_.expires_after(limits_.write_timeout + std::chrono::milliseconds{bytes * 1000 / min_reading_rate});
     if (hooks_ != nullptr) {
@@ -215,10 +219,6 @@
     assert(!has_responded_);
     has_responded_ = true;
     is_body_complete_ = false;
-    if (hooks_ != nullptr && !hooks_->reserve_stream()) {
-        abort();
-        co_return false;
-    }
     http::response<http::empty_body> response{static_cast<http::status>(status), 11};
     for (const http_header& header : headers) {
         response.insert(header.name, header.value);
--- a/modules/transport/include/lovageledge/transport/http_server.hpp
+++ b/modules/transport/include/lovageledge/transport/http_server.hpp
@@ -95,6 +95,8 @@
     /** Sends the status line and headers of a chunked response with status 200. Precondition: no part of a
         response was sent. @returns false if the caller has disconnected */
     asio::awaitable<bool> begin_stream(std::string content_type, std::vector<http_header> headers);
+    /** Reserves the memory for a response that is forwarded as it arrives. @returns false if there is none */
+    bool reserve_stream();
     /** Sends the status line and the given headers, unchanged, of a forwarded response. Precondition: no part
         of a response was sent.
         @param length size of the body in bytes, or nothing for a chunked response
--- a/tests/gateway/unanswered_requests_test.cpp
+++ b/tests/gateway/unanswered_requests_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(cancelled_wait_is_not_taken_for_the_callers_leaving);
     CPPUNIT_TEST(callers_that_wait_are_not_taken_for_gone_with_several_threads);
     CPPUNIT_TEST(callers_leaving_is_noticed);
+    CPPUNIT_TEST(stream_that_there_is_no_memory_for_gets_an_answer);
     CPPUNIT_TEST(part_of_a_request_on_a_connection_that_gives_way_is_reported);
     CPPUNIT_TEST(connection_that_stays_idle_is_closed);
     CPPUNIT_TEST(many_at_once_are_counted_and_few_are_logged);
@@ -260,6 +261,22 @@
         }
     }
 
+    // A server had run the request, and the caller got nothing for lack of memory.
+    void stream_that_there_is_no_memory_for_gets_an_answer() {
+        http_limits limits;
+        limits.socket_buffer_bytes = std::uint32_t{64} * 1024;
+        // Enough for the request, but not for the stream's buffer beside it.
+        limits.memory = std::make_shared<memory_budget>(std::size_t{200} * 1024);
+        start(limits, 1, [](http_exchange& exchange) -> asio::awaitable<void> {
+            const bool has_memory = exchange.reserve_stream();
+            co_await exchange.respond(has_memory ? 200 : 502, "{}");
+        });
+        blocking_connection caller = connect();
+        caller.write(request());
+        const std::string response = caller.read_message();
+        CPPUNIT_ASSERT_MESSAGE("\"" + response + "\"", response.rfind("HTTP/1.1 502", 0) == 0);
+    }
+
     void part_of_a_request_on_a_connection_that_gives_way_is_reported() {
         http_limits limits;
         limits.connections = 1;
