A request that ends by an exception gets an answer

Callers saw: neither an answer nor a refusal; the connection was reset, also where no server had seen the request. Cause: the handler's exception was logged without the request, and its connection was aborted; the server and the gateway counted the request as running for as long as they lived. Change: request_handler answers 503 as not run if nothing was sent, else 502, or aborts a response that had begun; event 402 tells the request and what was thrown; all counts end with the attempt.

--- a/modules/gateway/include/lovageledge/gateway/request_handler.hpp
+++ b/modules/gateway/include/lovageledge/gateway/request_handler.hpp
@@ -27,7 +27,8 @@
     request_handler(gateway_state& state, order_coordinator& coordinator, connection_pool& pool,
                     http_exchange& exchange);
 
-    /** Serves the request. Afterwards the exchange has a response or is aborted. */
+    /** Serves the request. Afterwards the exchange has a response or is aborted. If a step throws, the caller
+        gets an error response that tells whether the request may have run. */
     asio::awaitable<void> run();
     /** Ends a request that has no response yet with an error response, because the process is about to
         exit. */
@@ -53,6 +54,8 @@
 
     /** @returns true if a response certainly belongs to the request that was last sent on a connection */
     bool is_response_to(const forwarding_connection& connection, const response_attributes& attributes) const;
+    asio::awaitable<void> serve();
+    asio::awaitable<void> finish_after_exception(std::string reason);
     /** Asks for the decision on the request; decision_, route_ and deadline_ are set then. */
     void decide_admission();
     /** Precondition: the decision is a refusal. */
@@ -70,6 +73,8 @@
         @returns false if the request must be refused; last_error_ and retry_after_ are set then */
     asio::awaitable<bool> wait_for_pause_end();
     asio::awaitable<attempt_outcome> run_attempt(const server_choice& choice);
+    /** Takes this request off the server's counts. @param started_at start of the server that was sent to */
+    void end_attempt(const server_name& name, std::uint64_t started_at);
     asio::awaitable<attempt_outcome> exchange_with_server(backend& server,
                                                           std::shared_ptr<forwarding_connection> connection);
     asio::awaitable<std::shared_ptr<forwarding_connection>> connect(const backend& server);
@@ -138,6 +143,8 @@
     std::uint32_t attempts_ = 0;
     /** Attempts that may have run the request. */
     std::uint32_t possible_runs_ = 0;
+    /** The current attempt was sent, and possible_runs_ does not include it yet. */
+    bool is_attempt_open_ = false;
     /** Prompt tokens of this request that count as pending at the current server. */
     std::uint32_t pending_tokens_ = 0;
     server_name current_server_;
--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -41,6 +41,18 @@
 /** A request is refused if its first byte is expected only after this fraction of the remaining time. */
 constexpr double max_first_byte_share = 0.9;
 
+/** Counts a request as in progress for as long as it exists. */
+class counted_request {
+public:
+    explicit counted_request(std::uint32_t& number) : number_{number} { ++number_; }
+    counted_request(const counted_request&) = delete;
+    counted_request& operator=(const counted_request&) = delete;
+    ~counted_request() { --number_; }
+
+private:
+    std::uint32_t& number_;
+};
+
 std::int64_t to_ms(duration value) {
     return std::chrono::duration_cast<milliseconds>(value).count();
 }
@@ -53,6 +65,30 @@
       started_{state.now()} {}
 
 asio::awaitable<void> request_handler::run() {
+    std::string thrown;
+    try {
+        co_await serve();
+    } catch (const std::exception& exception) {
+        thrown = fmt::format("ended by an exception: {}", exception.what());
+    }
+    if (!thrown.empty()) {
+        co_await finish_after_exception(std::move(thrown));
+    }
+}
+
+asio::awaitable<void> request_handler::finish_after_exception(std::string reason) {
+    state_.counters.count("request_exceptions_total");
+    last_error_ = std::move(reason);
+    possible_runs_ += std::exchange(is_attempt_open_, false) ? 1 : 0;
+    if (exchange_.has_responded() && !has_stream_started_) {
+        exchange_.abort();
+        log_finished(0, "broken_off");
+        co_return;
+    }
+    co_await finish_unserved();
+}
+
+asio::awaitable<void> request_handler::serve() {
     attributes_ = state_.codec.read_request(exchange_.request());
     path_ = exchange_.path();
     if (!has_unambiguous_framing(exchange_.request())) {
@@ -71,9 +107,8 @@
             self->on_caller_gone();
         }
     });
-    ++state_.requests_in_progress;
+    const counted_request counted{state_.requests_in_progress};
     co_await run_attempts();
-    --state_.requests_in_progress;
 }
 
 void request_handler::decide_admission() {
@@ -367,33 +402,50 @@
     log_routed(choice);
 
     attempt_outcome result = attempt_outcome::not_sent;
-    auto connection = co_await connect(*server);
-    server = state_.directory.find(choice.server);
-    if (connection && server != nullptr) {
-        connection_ = connection;
-        result = co_await exchange_with_server(*server, connection);
-        connection_.reset();
-    }
+    std::exception_ptr thrown;
+    try {
+        auto connection = co_await connect(*server);
+        server = state_.directory.find(choice.server);
+        if (connection && server != nullptr) {
+            connection_ = connection;
+            result = co_await exchange_with_server(*server, connection);
+        }
+    } catch (const std::exception&) {
+        thrown = std::current_exception();
+        result = attempt_outcome::unknown;
+        if (connection_) {
+            connection_->abort();
+        }
+    }
+    connection_.reset();
     release_pending_tokens();
     const bool has_failed =
         result == attempt_outcome::unknown || result == attempt_outcome::stream_interrupted;
-    observer_.on_ended(has_failed && !is_caller_gone_ && !is_ended_by_stop_);
-    server = state_.directory.find(choice.server);
-    if (server != nullptr && server->listing.started_at == started_at) {
-        --server->in_flight;
-        server->streaming -= is_counted_streaming_ ? 1 : 0;
-        if (work_.needs_weights() && --server->adapters_in_use[work_.weights] == 0) {
-            server->adapters_in_use.erase(work_.weights);
-        }
-    }
+    observer_.on_ended(has_failed && !is_caller_gone_ && !is_ended_by_stop_ && !thrown);
+    end_attempt(choice.server, started_at);
     if (is_bounded) {
         const bool is_completed = result == attempt_outcome::finished && !is_caller_gone_;
         state_.scheduler.on_ended(choice.server, started_at, size,
                                   is_completed ? std::optional{state_.now() - sent_at_} : std::nullopt);
     }
+    if (thrown) {
+        std::rethrow_exception(thrown);
+    }
     co_return result;
 }
 
+void request_handler::end_attempt(const server_name& name, std::uint64_t started_at) {
+    backend* server = state_.directory.find(name);
+    if (server == nullptr || server->listing.started_at != started_at) {
+        return;
+    }
+    --server->in_flight;
+    server->streaming -= is_counted_streaming_ ? 1 : 0;
+    if (work_.needs_weights() && --server->adapters_in_use[work_.weights] == 0) {
+        server->adapters_in_use.erase(work_.weights);
+    }
+}
+
 asio::awaitable<std::shared_ptr<forwarding_connection>> request_handler::connect(const backend& server) {
     const server_listing listing = server.listing;
     const duration limit =
@@ -463,7 +515,9 @@
     observer_.on_sent(server, work_.needs_weights(), expected_time_);
     framing_ = body_framing::none;
     received_bytes_ = 0;
-    connection->send(make_forwarded_head(server), exchange_.shared_body());
+    std::string forwarded_head = make_forwarded_head(server);
+    is_attempt_open_ = true;
+    connection->send(std::move(forwarded_head), exchange_.shared_body());
     used_connections_.push_back(connection);
     state_.directory.on_sent(listing.name, state_.now());
     time_point limit = deadline_;
@@ -475,6 +529,7 @@
     state_.directory.on_response_started(listing.name, listing.started_at, state_.now());
     if (!head) {
         connection->abort();
+        is_attempt_open_ = false;
         ++possible_runs_;
         if (!is_caller_gone_) {
             state_.directory.on_failure(listing.name, state_.now());
@@ -500,6 +555,7 @@
         current->load = *attributes.load;
         current->load_reported_at = state_.now();
     }
+    is_attempt_open_ = false;
     if (attributes.is_not_run) {
         const attempt_outcome result = on_not_run_response(listing.name, *head, attributes);
         const time_point body_limit = std::min(deadline_, state_.now() + refusal_body_time);
