Answers that wait to be read are not given up for a time limit

Callers saw: nothing directly; a server whose answer lay in the gateway's socket counted as silent and failed, its request was retried or ended with an error, and a list of the store was given up and read again. Cause: as for the callers' connections: the limit's timer and the arrival come due together where a handler takes long, and the timer's handler closed the socket without asking the kernel. The same cause elsewhere. Change: read_limit, which lets input that has arrived be read first, takes the place of the stream's own limits in forwarding_connection and http_connection::exchange(); limited_reader uses it too. Common aliases moved to network_types.hpp. Conclusion: http_connection::exchange_stream(), which ledged uses towards its engines, keeps the stream's limit.

--- a/modules/transport/forwarding_connection.cpp
+++ b/modules/transport/forwarding_connection.cpp
@@ -150,10 +150,12 @@
     parser_.emplace();
     parser_->header_limit(max_head_bytes);
     parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
-    stream_.expires_at(deadline);
+    limit_.start(deadline);
     boost::system::error_code code;
     co_await http::async_read_header(stream_, buffer_, *parser_,
                                      asio::redirect_error(asio::use_awaitable, code));
+    limit_.stop();
+    code = limit_.translated(code);
     if (code) {
         abort_with_error("http.read", code, why);
         co_return std::nullopt;
@@ -180,10 +182,12 @@
         }
         parser_->get().body().data = read_buffer_.data();
         parser_->get().body().size = read_buffer_.size();
-        stream_.expires_at(deadline);
+        limit_.start(deadline);
         boost::system::error_code code;
         co_await http::async_read_some(stream_, buffer_, *parser_,
                                        asio::redirect_error(asio::use_awaitable, code));
+        limit_.stop();
+        code = limit_.translated(code);
         if (code == http::error::need_buffer) {
             code = {};
         }
--- a/modules/transport/http_connection.cpp
+++ b/modules/transport/http_connection.cpp
@@ -111,9 +111,13 @@
     http::response_parser<http::string_body> parser;
     parser.eager(true);
     parser.body_limit(max_body_bytes_);
+    stream_.expires_never();
     while (!code && !parser.is_done()) {
+        limit_.start(deadline);
         co_await http::async_read_some(stream_, buffer_, parser,
                                        asio::redirect_error(asio::use_awaitable, code));
+        limit_.stop();
+        code = limit_.translated(code);
         if (!code && !parser.is_done() && has_passed(deadline)) {
             code = beast::error::timeout;
         }
--- a/modules/transport/include/lovageledge/transport/forwarding_connection.hpp
+++ b/modules/transport/include/lovageledge/transport/forwarding_connection.hpp
@@ -84,6 +84,7 @@
     static constexpr std::size_t read_buffer_bytes = std::size_t{8} * 1024;
 
     beast::tcp_stream stream_;
+    read_limit limit_{stream_.socket()};
     /** Holds what the parser can't process yet: a head, a chunk's size line or the trailers must fit. */
     beast::flat_buffer buffer_{max_head_bytes + read_buffer_bytes};
     std::optional<http::response_parser<http::buffer_body>> parser_;
--- a/modules/transport/include/lovageledge/transport/http_connection.hpp
+++ b/modules/transport/include/lovageledge/transport/http_connection.hpp
@@ -1,11 +1,7 @@
 #pragma once
 
 #include "lovageledge/base/base.hpp"
-
-#include <utility>
-
-#include <boost/asio.hpp>
-#include <boost/beast.hpp>
+#include "lovageledge/transport/read_limit.hpp"
 
 #include <functional>
 #include <optional>
@@ -15,10 +11,6 @@
 
 namespace lovageledge {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
-
 /** A header field of an HTTP request or response. */
 struct http_header {
     std::string name;
@@ -102,6 +94,7 @@
     static constexpr std::size_t max_buffer_bytes = std::size_t{64} * 1024;
 
     beast::tcp_stream stream_;
+    read_limit limit_{stream_.socket()};
     std::size_t max_body_bytes_;
     beast::flat_buffer buffer_{max_buffer_bytes};
     std::string address_;
--- a/modules/transport/include/lovageledge/transport/limited_reader.hpp
+++ b/modules/transport/include/lovageledge/transport/limited_reader.hpp
@@ -1,22 +1,18 @@
 #pragma once
 
-#include "lovageledge/transport/http_connection.hpp"
+#include "lovageledge/transport/read_limit.hpp"
 
 #include <cstddef>
-#include <memory>
 
 namespace lovageledge {
 
 /**
-    Reads from a socket up to a time limit.
-
-    Unlike the time limit of a beast::tcp_stream, this one leaves the socket open: the reader may still
-   answer, and can tell what the kernel holds. Use it on the socket's executor only, from one coroutine at a
-   time. The socket must outlive it.
+    Reads from a socket up to a time limit, which leaves the socket open: the reader may still answer. Use it
+   on the socket's executor only, from one coroutine at a time. The socket must outlive it.
 */
 class limited_reader {
 public:
-    explicit limited_reader(asio::ip::tcp::socket& socket) : socket_{socket}, timer_{socket.get_executor()} {}
+    explicit limited_reader(asio::ip::tcp::socket& socket) : socket_{socket}, limit_{socket} {}
     limited_reader(const limited_reader&) = delete;
     limited_reader& operator=(const limited_reader&) = delete;
     ~limited_reader() = default;
@@ -30,13 +26,8 @@
                                            boost::system::error_code& code);
 
 private:
-    void start_timer(time_point limit);
-
     asio::ip::tcp::socket& socket_;
-    asio::steady_timer timer_;
-    bool has_passed_ = false;
-    /** Tells a handler of the timer that was queued already whether this object still exists. */
-    std::shared_ptr<bool> exists_ = std::make_shared<bool>(true);
+    read_limit limit_;
 };
 
 } // namespace lovageledge
--- a/modules/transport/include/lovageledge/transport/socket_input.hpp
+++ b/modules/transport/include/lovageledge/transport/socket_input.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "lovageledge/transport/http_connection.hpp"
+#include "lovageledge/transport/network_types.hpp"
 
 #include <cstddef>
 #include <cstdint>
