Requests on connections without memory, and under limits that changed or passed late, get an answer

Callers saw: no answer to a request that arrived on a kept connection which had just given its memory up (since the request was even read first); a reset within an idle limit that a configuration had raised meanwhile; 408 for a request that was complete when its time limit was noticed. Cause: the same class, found by the review of: what was decided before the request arrived, or before the limit changed, was carried out. Change: such a request gets 503 as not run with a time to come back, within the bound on refusals at a time; a wait goes on if the idle limit in force has not passed; the time limit of a request is judged after what has arrived was parsed. The test of the idle limit waits for events instead of times.

--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -678,9 +678,12 @@
     if (caller.buffer().capacity() > idle_buffer_bytes) {
         caller.buffer().shrink_to_fit();
     }
+    const time_point began = steady_now();
     boost::system::error_code code;
-    const time_point limit = steady_now() + limits_.idle_timeout;
-    co_await caller.read_some(idle_buffer_bytes, limit, code);
+    do {
+        // The limit may have grown meanwhile, and callers rely on the one in force.
+        co_await caller.read_some(idle_buffer_bytes, began + limits_.idle_timeout, code);
+    } while (code == beast::error::timeout && !has_passed(began + limits_.idle_timeout));
     const bool is_closed_here = code == beast::error::timeout || code == asio::error::operation_aborted;
     if (is_closed_here) {
         caller.report_unanswered(caller.close_cause(is_closing_ ? "stopping" : "idle"));
@@ -712,6 +715,7 @@
 http_server::read_request(connection& caller, http::request_parser<http::string_body>& parser) {
     const time_point deadline = steady_now() + limits_.request_timeout;
     boost::system::error_code code;
+    bool is_late = false;
     std::size_t lines = count_lines(caller.buffer().data());
     while (!code && !parser.is_done()) {
         // Memory is accounted before it is spent: a parsed head takes up to 20 times its bytes.
@@ -733,6 +737,9 @@
         if (code || parser.is_done()) {
             continue;
         }
+        if (is_late) {
+            co_return beast::error::timeout;
+        }
         if (caller.is_dropped()) {
             co_return asio::error::operation_aborted;
         }
@@ -747,13 +754,15 @@
         if (!parser.is_header_done()) {
             lines += count_lines(caller.buffer().data() + unread_size);
         }
-        if (!code && !parser.is_done() && has_passed(deadline)) {
-            code = beast::error::timeout;
-        }
+        is_late = !code && has_passed(deadline);
     }
     co_return code;
 }
 
+bool http_server::may_refuse(connection& caller) const {
+    return discarding_ < max_discarding && caller.stream().socket().is_open();
+}
+
 asio::awaitable<void> http_server::refuse_unread(connection& caller, boost::system::error_code code,
                                                  bool has_no_room) {
     const bool is_head_too_large = code == http::error::header_limit;
@@ -796,6 +805,10 @@
         }
     }
     const bool has_begun = !caller.is_dropped() || caller.revive();
+    if (!has_begun && caller.memory().is_cut() && may_refuse(caller)) {
+        co_await refuse_unread(caller, {}, true);
+        co_return false;
+    }
     if (!has_begun || (!caller.has_taken_responses() && !co_await wait_until_taken(caller))) {
         caller.report_unanswered(caller.close_cause("reset"));
         co_return false;
--- a/modules/transport/include/lovageledge/transport/http_server.hpp
+++ b/modules/transport/include/lovageledge/transport/http_server.hpp
@@ -289,6 +289,8 @@
     /** Reads more of a request into the connection's buffer. */
     static asio::awaitable<boost::system::error_code>
     read_more(connection& caller, http::request_parser<http::string_body>& parser, time_point limit);
+    /** @returns true if a caller whose memory was given up can still be told */
+    bool may_refuse(connection& caller) const;
     asio::awaitable<void> refuse_unread(connection& caller, boost::system::error_code code, bool has_no_room);
     static asio::awaitable<void> discard_input(beast::tcp_stream& stream);
     /** Makes place for a new connection. @returns nullptr, or what is short if there is no place, so that the
--- a/tests/gateway/unanswered_requests_test.cpp
+++ b/tests/gateway/unanswered_requests_test.cpp
@@ -20,6 +20,9 @@
     CPPUNIT_TEST_SUITE(unanswered_requests_test);
     CPPUNIT_TEST(request_that_arrives_before_a_late_idle_timer_is_answered);
     CPPUNIT_TEST(request_on_a_connection_that_gives_way_is_answered);
+    CPPUNIT_TEST(request_on_a_connection_without_memory_is_refused_as_not_run);
+    CPPUNIT_TEST(raised_idle_limit_holds_for_connections_that_wait);
+    CPPUNIT_TEST(request_that_is_complete_when_its_late_time_limit_is_noticed_is_answered);
     CPPUNIT_TEST(request_on_a_connection_that_a_stop_closes_is_answered);
     CPPUNIT_TEST(request_that_arrives_with_the_end_of_a_response_is_answered_during_a_stop);
     CPPUNIT_TEST(request_that_is_not_complete_in_time_gets_408);
@@ -76,10 +79,10 @@
         CPPUNIT_ASSERT_MESSAGE("\"" + response + "\"", response.rfind("HTTP/1.1 200", 0) == 0);
     }
 
-    /** Occupies the server's thread with a handler at a time, as decoding a large configuration does. */
-    void occupy(time_point from, duration time) {
-        const auto timer = std::make_shared<asio::steady_timer>(context_, from);
-        timer->async_wait([timer, time](boost::system::error_code) { std::this_thread::sleep_for(time); });
+    /** Runs a function on the server's thread at a time. */
+    void at(time_point time, std::function<void()> function) {
+        const auto timer = std::make_shared<asio::steady_timer>(context_, time);
+        timer->async_wait([timer, function = std::move(function)](boost::system::error_code) { function(); });
     }
 
 public:
@@ -96,13 +99,20 @@
         limits.idle_timeout = idle_timeout;
         start(limits);
         blocking_connection caller = connect_and_ask_once();
-        // Both handlers and the idle timer are due when the first of them ends, so that the server looks for
-        // input before the second one only.
+        // The second function and the idle timer are due when the first one ends, so that the server looks
+        // for input before the second one only.
+        std::promise<void> looks_away;
+        std::promise<void> sent;
         const time_point now = std::chrono::steady_clock::now();
-        occupy(now + milliseconds{150}, milliseconds{300});
-        occupy(now + milliseconds{200}, milliseconds{300});
-        std::this_thread::sleep_until(now + milliseconds{600});
+        at(now + milliseconds{150}, [] { std::this_thread::sleep_for(idle_timeout); });
+        at(now + milliseconds{200}, [&] {
+            looks_away.set_value();
+            sent.get_future().wait();
+        });
+        looks_away.get_future().wait();
         caller.write(request());
+        std::this_thread::sleep_for(milliseconds{50});
+        sent.set_value();
         assert_answered(caller);
     }
 
@@ -128,6 +138,69 @@
         assert_answered(other);
     }
 
+    // The next request of a connection that gave way for lack of memory was read and not answered.
+    void request_on_a_connection_without_memory_is_refused_as_not_run() {
+        std::promise<void> chosen;
+        std::promise<void> sent;
+        http_limits limits;
+        const auto memory = std::make_shared<memory_budget>(std::size_t{200} * 1024);
+        limits.memory = memory;
+        limits.on_closed = [&](const char*) {
+            chosen.set_value();
+            sent.get_future().wait();
+        };
+        start(limits);
+        blocking_connection kept = connect_and_ask_once();
+        std::this_thread::sleep_for(milliseconds{50}); // Until it waits for its next request.
+        asio::post(context_, [&] {
+            memory_share other{memory, memory_use::response, [] {}};
+            other.resize(memory->capacity());
+        });
+        chosen.get_future().wait();
+        kept.write(request());
+        std::this_thread::sleep_for(milliseconds{50});
+        sent.set_value();
+        const std::string response = kept.read_message();
+        CPPUNIT_ASSERT_MESSAGE("\"" + response + "\"", response.rfind("HTTP/1.1 503", 0) == 0);
+        CPPUNIT_ASSERT(response.find("Retry-After: ") != std::string::npos);
+    }
+
+    // A configuration that raised the idle limit left the connections that waited already at the former one.
+    void raised_idle_limit_holds_for_connections_that_wait() {
+        http_limits limits;
+        limits.idle_timeout = idle_timeout;
+        start(limits);
+        blocking_connection caller = connect_and_ask_once();
+        std::this_thread::sleep_for(milliseconds{50}); // Until it waits for its next request.
+        asio::post(context_, [&] {
+            http_limits raised = limits;
+            raised.idle_timeout = 10 * idle_timeout;
+            server_->set_limits(raised);
+        });
+        std::this_thread::sleep_for(2 * idle_timeout);
+        caller.write(request());
+        assert_answered(caller);
+    }
+
+    // The rest of a request that lay in the socket when its time limit was noticed was not looked at.
+    void request_that_is_complete_when_its_late_time_limit_is_noticed_is_answered() {
+        http_limits limits;
+        limits.request_timeout = milliseconds{200};
+        start(limits);
+        blocking_connection caller = connect();
+        const std::string whole = request();
+        caller.write(whole.substr(0, 20));
+        std::this_thread::sleep_for(milliseconds{50});
+        std::promise<void> looks_away;
+        asio::post(context_, [&] {
+            looks_away.set_value();
+            std::this_thread::sleep_for(2 * limits.request_timeout);
+        });
+        looks_away.get_future().wait();
+        caller.write(whole.substr(20));
+        assert_answered(caller);
+    }
+
     // A planned stop closed a kept connection although its next request had arrived.
     void request_on_a_connection_that_a_stop_closes_is_answered() {
         start(http_limits{});
@@ -212,6 +285,7 @@
         });
         const time_point end = std::chrono::steady_clock::now() + run_time;
         std::atomic<int> answered{0};
+        std::atomic<int> lost{0};
         std::vector<std::thread> senders;
         for (int i = 0; i < callers; ++i) {
             senders.emplace_back([&] {
@@ -223,6 +297,7 @@
                     caller.write(whole.substr(0, head));
                     caller.write(whole.substr(head));
                     if (caller.read_message().empty()) {
+                        ++lost;
                         return;
                     }
                     ++answered;
@@ -233,6 +308,7 @@
             sender.join();
         }
         CPPUNIT_ASSERT(answered > callers);
+        CPPUNIT_ASSERT_EQUAL(0, lost.load());
         CPPUNIT_ASSERT_EQUAL_MESSAGE(fmt::format("of {}", answered.load()), 0, gone.load());
     }
 
