http_server: the end of a request reads as two conditions

Cause: the formatter took a declaration and a return for a reference ("is_kept&& exchange"). Change: the same conditions, in two statements. Conclusion: no change of behaviour.

--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -864,8 +864,8 @@
     caller.set_stage(connection_stage::kept);
     // A response that did not announce the close allows another request, which may have arrived already.
     const bool may_close = is_closing_ || caller.is_dropped();
-    const bool is_kept = !may_close || caller.has_input();
-    co_return is_kept&& exchange.keeps_alive() && caller.stream().socket().is_open();
+    const bool is_kept = exchange.keeps_alive() && caller.stream().socket().is_open();
+    co_return is_kept && (!may_close || caller.has_input());
 }
 
 } // namespace lovageledge
