--- a/tests/gateway/unanswered_requests_test.cpp
+++ b/tests/gateway/unanswered_requests_test.cpp
@@ -287,6 +287,7 @@
         std::atomic<int> answered{0};
         std::atomic<int> lost{0};
         std::vector<std::thread> senders;
+        senders.reserve(callers);
         for (int i = 0; i < callers; ++i) {
             senders.emplace_back([&] {
                 asio::io_context own_context;
