unanswered_request: the documented causes are those that are reported

Cause: the comment named a cause that nothing reports; an exception is told by event 402. Change: the comment. Conclusion: no change of behaviour.

--- a/modules/transport/include/lovageledge/transport/unanswered_request.hpp
+++ b/modules/transport/include/lovageledge/transport/unanswered_request.hpp
@@ -10,7 +10,7 @@
 /** A request, or a part of one, that was received on a connection which this side closed without a response.
  */
 struct unanswered_request {
-    /** Why the connection was closed: "idle" (no request came within the limit), "stopping", "exception", or
+    /** Why the connection was closed: "idle" (no request came within the limit), "stopping", "reset", or
        a cause of http_limits::on_closed. */
     const char* cause = "";
     /** Time since the connection was accepted. */
