A response that ends with its connection is complete only if the server took the whole request

Cause: the kernel reports the failure of a connection once, to the call that asks first. Writing was told of the reset and kept it; reading then saw the end of the stream, which ends such a body. The same with an orderly end that a reset follows. Class: a failure that one side of a connection saw is not known to the side that decides. Change: at the end of a body without length and chunks, forwarding_connection asks for a failure of writing and of the socket, and waits until the request is written and acknowledged. A server that ends its sending side and reads on is served as before; one that doesn't take the rest until the deadline has cut its response. A connection whose writing failed is not used again. Conclusion: what is complete no longer depends on which side the kernel told first.

--- a/modules/transport/forwarding_connection.cpp
+++ b/modules/transport/forwarding_connection.cpp
@@ -1,5 +1,8 @@
 #include "lovageledge/transport/forwarding_connection.hpp"
 
+#include "lovageledge/transport/socket_output.hpp"
+
+#include <algorithm>
 #include <charconv>
 #include <limits>
 #include <netinet/tcp.h>
@@ -17,6 +20,9 @@
 constexpr int keep_alive_idle_s = 1;
 constexpr int keep_alive_interval_s = 1;
 constexpr int max_keep_alive_probes = 2;
+/** Intervals at which the kernel is asked whether the server has taken the request. */
+constexpr auto first_taken_check = std::chrono::milliseconds{1};
+constexpr auto longest_taken_check = std::chrono::milliseconds{20};
 
 template <int Level, int Name>
 using int_option = asio::detail::socket_option::integer<Level, Name>;
@@ -106,6 +112,7 @@
     request_head_ = std::move(head);
     request_body_ = std::move(body);
     is_writing_ = true;
+    write_failure_.clear();
     ++sent_requests_;
     const std::array<asio::const_buffer, 2> buffers{asio::buffer(request_head_),
                                                     asio::buffer(*request_body_)};
@@ -114,6 +121,7 @@
                       [self = shared_from_this()](boost::system::error_code code, std::size_t) {
                           self->is_writing_ = false;
                           self->request_body_.reset();
+                          self->write_failure_ = code;
                           if (code) {
                               // Keeps the receiving side open: a response that arrived before the write
                               // failed can still be read.
@@ -200,12 +208,40 @@
             co_return std::string_view{read_buffer_.data(), size};
         }
     }
+    const bool ends_with_connection = parser_->need_eof();
+    if (ends_with_connection && !co_await wait_until_request_taken(deadline, why)) {
+        co_return std::nullopt;
+    }
     co_return std::string_view{};
 }
 
+asio::awaitable<bool> forwarding_connection::wait_until_request_taken(time_point deadline, error& why) {
+    asio::steady_timer timer{stream_.get_executor()};
+    duration pause = first_taken_check;
+    while (true) {
+        const boost::system::error_code failure =
+            write_failure_ ? write_failure_ : take_failure(stream_.socket());
+        if (failure || is_aborted_) {
+            abort_with_error("http.write", failure ? failure : asio::error::operation_aborted, why);
+            co_return false;
+        }
+        if (!is_writing_ && unsent_bytes(stream_.socket()) == 0) {
+            co_return true;
+        }
+        if (has_passed(deadline)) {
+            abort_at_deadline(why);
+            co_return false;
+        }
+        timer.expires_after(std::min<duration>(pause, deadline - std::chrono::steady_clock::now()));
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        pause = std::min<duration>(pause * 2, longest_taken_check);
+    }
+}
+
 bool forwarding_connection::keeps_alive() const {
-    return !is_aborted_ && !is_writing_ && buffer_.size() == 0 && parser_ && parser_->is_done() &&
-           parser_->get().keep_alive();
+    return !is_aborted_ && !is_writing_ && !write_failure_ && buffer_.size() == 0 && parser_ &&
+           parser_->is_done() && parser_->get().keep_alive();
 }
 
 } // namespace lovageledge
--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -1,15 +1,14 @@
 #include "lovageledge/transport/http_server.hpp"
 
 #include "lovageledge/transport/log_exception.hpp"
+#include "lovageledge/transport/socket_output.hpp"
 
 #include <algorithm>
 #include <array>
 #include <cassert>
 #include <limits>
-#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <nlohmann/json.hpp>
-#include <sys/ioctl.h>
 #include <sys/resource.h>
 
 namespace lovageledge {
@@ -70,12 +69,6 @@
     return all - std::min(file_descriptors, all / 2);
 }
 
-/** @returns the bytes of responses that the kernel holds for a caller */
-int unsent_bytes(beast::tcp_stream& stream) {
-    int bytes = 0;
-    return ::ioctl(stream.socket().native_handle(), SIOCOUTQ, &bytes) == 0 ? bytes : 0;
-}
-
 void reset(beast::tcp_stream& stream) {
     boost::system::error_code ignored;
     stream.socket().set_option(asio::socket_base::linger{true, 0}, ignored);
@@ -508,7 +501,7 @@
 
 bool http_server::connection::has_taken_responses() {
     const bool is_in_doubt = sent_bytes_ >= small_response_bytes || stage_ == connection_stage::sending;
-    if (is_in_doubt && unsent_bytes(stream_) > 0) {
+    if (is_in_doubt && unsent_bytes(stream_.socket()) > 0) {
         return false;
     }
     sent_bytes_ = 0;
@@ -526,7 +519,7 @@
 
 void http_server::connection::end_waiting() {
     // Closing a socket without a reset leaves what it has not sent to the kernel, for minutes.
-    if (stage_ == connection_stage::sending || unsent_bytes(stream_) > 0) {
+    if (stage_ == connection_stage::sending || unsent_bytes(stream_.socket()) > 0) {
         reset(stream_);
     } else {
         stream_.cancel();
--- a/modules/transport/include/lovageledge/transport/forwarding_connection.hpp
+++ b/modules/transport/include/lovageledge/transport/forwarding_connection.hpp
@@ -49,7 +49,8 @@
     /** Reads the status line and headers of the next response. @returns nothing and sets why on failure, also
         if the deadline has passed while the server keeps sending */
     asio::awaitable<std::optional<response_head>> read_head(time_point deadline, error& why);
-    /** Reads the next part of the body.
+    /** Reads the next part of the body. A body that ends with its connection is complete once the server has
+        taken the whole request too: one that ends before may have been cut.
         @returns an empty view at the end of the body, nothing on failure as for read_head(); the view stays
         valid until the next call */
     asio::awaitable<std::optional<std::string_view>> read_some(time_point deadline, error& why);
@@ -77,6 +78,8 @@
     void abort_with_error(const char* step, const boost::system::error_code& code, error& why);
     /** As abort_with_error(), at a deadline that the server has not kept though it is sending. */
     void abort_at_deadline(error& why);
+    /** Waits until the server has taken the request. @returns false and sets why if it does not */
+    asio::awaitable<bool> wait_until_request_taken(time_point deadline, error& why);
     void update_idle_limit(const response_head& head);
 
     /** Maximum size of the status line and headers of a response. */
@@ -97,6 +100,8 @@
     time_point opened_at_{};
     duration idle_limit_{};
     std::uint32_t sent_requests_ = 0;
+    /** How writing the request has failed. Reading is not told of the same failure. */
+    boost::system::error_code write_failure_;
     bool is_writing_ = false;
     bool is_aborted_ = false;
     bool has_misbehaved_ = false;
--- /dev/null
+++ b/tests/gateway/incomplete_responses_test.cpp
@@ -0,0 +1,141 @@
+#include "lovageledge/transport/forwarding_connection.hpp"
+
+#include "scripted_server.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <thread>
+
+namespace lovageledge {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Responses that end with their connection, while the request may still be on its way to the server. */
+class incomplete_responses_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(incomplete_responses_test);
+    CPPUNIT_TEST(response_is_not_complete_if_its_connection_is_reset_while_the_request_is_written);
+    CPPUNIT_TEST(response_is_not_complete_if_it_ends_orderly_and_a_reset_follows);
+    CPPUNIT_TEST(response_is_complete_if_the_server_reads_the_rest_of_the_request);
+    CPPUNIT_TEST(response_is_not_complete_if_the_server_never_takes_the_rest_of_the_request);
+    CPPUNIT_TEST(response_with_a_length_is_complete_though_the_request_was_not_taken);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::size_t upload_bytes = std::size_t{3} * 1024 * 1024;
+    static constexpr std::size_t read_part_bytes = std::size_t{200} * 1024;
+    static constexpr std::size_t body_bytes = 100;
+    static constexpr const char* head_without_length = "HTTP/1.1 200 OK\r\n\r\n";
+
+    /** What a caller of the connection learns of a response. */
+    struct observation {
+        std::optional<response_head> head;
+        std::string body;
+        bool is_complete = false;
+        bool keeps_alive = false;
+        bool has_misbehaved = false;
+        error why;
+    };
+
+    static asio::awaitable<void> exchange(const scripted_server& server, std::size_t request_bytes,
+                                          duration limit, observation& seen) {
+        const auto connection = std::make_shared<forwarding_connection>(co_await asio::this_coro::executor);
+        const bool is_open = co_await connection->open(server.address(), limit, seen.why);
+        if (!is_open) {
+            co_return;
+        }
+        const time_point deadline = std::chrono::steady_clock::now() + limit;
+        connection->send("POST / HTTP/1.1\r\nHost: test\r\nContent-Length: " + std::to_string(request_bytes) +
+                             "\r\n\r\n",
+                         std::make_shared<const std::string>(request_bytes, 'u'));
+        seen.head = co_await connection->read_head(deadline, seen.why);
+        std::optional<std::string_view> part;
+        do {
+            part = seen.head ? co_await connection->read_some(deadline, seen.why) : std::nullopt;
+            seen.body += part.value_or("");
+        } while (part && !part->empty());
+        seen.is_complete = part.has_value();
+        seen.keeps_alive = connection->keeps_alive();
+        seen.has_misbehaved = connection->has_misbehaved();
+        connection->abort();
+    }
+
+    /** Sends a request to a server. @returns what is seen of its response */
+    static observation observe(const scripted_server& server, std::size_t request_bytes = upload_bytes,
+                               duration limit = std::chrono::seconds{5}) {
+        asio::io_context context;
+        observation seen;
+        asio::co_spawn(context, exchange(server, request_bytes, limit, seen), asio::detached);
+        context.run();
+        return seen;
+    }
+
+    static std::string body() { return std::string(body_bytes, 'b'); }
+
+public:
+    // A part of a body was taken for a whole one: only the writing side was told of the reset.
+    void response_is_not_complete_if_its_connection_is_reset_while_the_request_is_written() {
+        for (const std::size_t read_bytes : {std::size_t{0}, read_part_bytes}) {
+            for (const int delay_ms : {0, 1, 20, 100}) {
+                const scripted_server server{[&](blocking_connection& connection, int) {
+                    connection.read_bytes(read_bytes);
+                    connection.write(head_without_length + body());
+                    std::this_thread::sleep_for(milliseconds{delay_ms});
+                    connection.reset();
+                }};
+                const observation seen = observe(server);
+                CPPUNIT_ASSERT(!seen.is_complete);
+                CPPUNIT_ASSERT(!seen.keeps_alive);
+            }
+        }
+    }
+
+    // The end of the stream arrives first; the server's kernel resets once more of the request arrives.
+    void response_is_not_complete_if_it_ends_orderly_and_a_reset_follows() {
+        const scripted_server server{[&](blocking_connection& connection, int) {
+            connection.write(head_without_length + body());
+            connection.end_sending();
+            std::this_thread::sleep_for(milliseconds{100});
+            connection.reset();
+        }};
+        CPPUNIT_ASSERT(!observe(server).is_complete);
+    }
+
+    void response_is_complete_if_the_server_reads_the_rest_of_the_request() {
+        std::size_t received = 0;
+        auto server = std::make_unique<scripted_server>([&](blocking_connection& connection, int) {
+            connection.write(head_without_length + body());
+            connection.end_sending();
+            std::this_thread::sleep_for(milliseconds{50});
+            received = connection.read_message().size();
+        });
+        const observation seen = observe(*server);
+        server.reset(); // Waits for the script.
+        CPPUNIT_ASSERT_MESSAGE(seen.why.text(), seen.is_complete);
+        CPPUNIT_ASSERT_EQUAL(body(), seen.body);
+        CPPUNIT_ASSERT(received > upload_bytes);
+    }
+
+    void response_is_not_complete_if_the_server_never_takes_the_rest_of_the_request() {
+        const scripted_server server{[&](blocking_connection& connection, int) {
+            connection.write(head_without_length + body());
+            connection.end_sending();
+            std::this_thread::sleep_for(milliseconds{600});
+        }};
+        CPPUNIT_ASSERT(!observe(server, upload_bytes, milliseconds{300}).is_complete);
+    }
+
+    void response_with_a_length_is_complete_though_the_request_was_not_taken() {
+        const scripted_server server{[&](blocking_connection& connection, int) {
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n" + body());
+            std::this_thread::sleep_for(milliseconds{50});
+            connection.reset();
+        }};
+        const observation seen = observe(server);
+        CPPUNIT_ASSERT_MESSAGE(seen.why.text(), seen.is_complete);
+        CPPUNIT_ASSERT(!seen.keeps_alive);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(incomplete_responses_test);
+
+} // namespace
+} // namespace lovageledge
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -96,10 +96,12 @@
     CPPUNIT_TEST(request_that_waited_for_its_adapter_is_not_taken_for_slowness);
     CPPUNIT_TEST(responses_and_failures_set_the_pace_of_a_recovered_server);
     CPPUNIT_TEST(exceptions_do_not_keep_servers_occupied);
+    CPPUNIT_TEST(part_of_a_response_is_not_passed_on_if_the_upload_was_reset);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* plain_path = "/plain/";
     static constexpr const char* once_path = "/once/";
+    static constexpr const char* safe_path = "/safe/";
     static constexpr const char* stream_path = "/stream/";
 
     /** The gateway under test. All of it is used on the thread of run(). */
@@ -140,6 +142,7 @@
             route_rule once = make_route(once_path, request_kind::stream);
             once.is_resumable = false;
             configuration.routes = {make_route(plain_path, request_kind::unsafe),
+                                    make_route(safe_path, request_kind::safe),
                                     make_route(stream_path, request_kind::stream), once};
             service_spec service;
             service.name = pool_name{"pool"};
@@ -251,6 +254,27 @@
         CPPUNIT_ASSERT_EQUAL(0U, gateway_->state.requests_in_progress);
     }
 
+    // A caller got the first 100 bytes of a response as the whole response.
+    void part_of_a_response_is_not_passed_on_if_the_upload_was_reset() {
+        const std::string upload(std::size_t{900} * 1024, 'u');
+        for (const char* path : {plain_path, safe_path}) {
+            std::atomic<int> runs{0};
+            const scripted_server::script script = [&](blocking_connection& connection, int) {
+                ++runs;
+                connection.write("HTTP/1.1 200 OK\r\n" + run_headers("1") + "\r\n" + std::string(100, 'b'));
+                std::this_thread::sleep_for(milliseconds{20});
+                connection.reset();
+            };
+            const scripted_server first{script};
+            const scripted_server second{script};
+            start({&first, &second});
+            const std::string answer = request_with_body(path, upload);
+            CPPUNIT_ASSERT_MESSAGE(answer, has_status(answer, 502));
+            CPPUNIT_ASSERT_EQUAL(path == safe_path ? 2 : 1, runs.load());
+            gateway_.reset();
+        }
+    }
+
     void response_whose_head_ends_early_is_no_success() {
         const std::string buffered = response("200 OK", run_headers("1"), "whole");
         const std::string streamed = stream_head("1");
--- a/tests/support/scripted_server.cpp
+++ b/tests/support/scripted_server.cpp
@@ -5,7 +5,7 @@
 namespace lovageledge {
 namespace {
 
-constexpr std::size_t read_bytes = 4096;
+constexpr std::size_t read_bytes_at_a_time = 4096;
 constexpr auto accept_poll_interval = std::chrono::milliseconds{2};
 
 std::size_t content_length(const std::string& head) {
@@ -16,7 +16,7 @@
 } // namespace
 
 std::string blocking_connection::read_message() {
-    std::array<char, read_bytes> bytes{};
+    std::array<char, read_bytes_at_a_time> bytes{};
     while (true) {
         const std::size_t head_end = buffer_.find("\r\n\r\n");
         if (head_end != std::string::npos) {
@@ -36,8 +36,17 @@
     }
 }
 
+void blocking_connection::read_bytes(std::size_t size) {
+    std::array<char, read_bytes_at_a_time> bytes{};
+    boost::system::error_code code;
+    while (!code && buffer_.size() < size) {
+        const std::size_t received = socket_.read_some(asio::buffer(bytes), code);
+        buffer_.append(bytes.data(), received);
+    }
+}
+
 std::string blocking_connection::read_all() {
-    std::array<char, read_bytes> bytes{};
+    std::array<char, read_bytes_at_a_time> bytes{};
     boost::system::error_code code;
     while (!code) {
         const std::size_t size = socket_.read_some(asio::buffer(bytes), code);
@@ -63,6 +72,11 @@
     socket_.close(ignored);
 }
 
+void blocking_connection::end_sending() {
+    boost::system::error_code ignored;
+    socket_.shutdown(asio::socket_base::shutdown_send, ignored);
+}
+
 void blocking_connection::shut_down() {
     boost::system::error_code ignored;
     socket_.shutdown(asio::socket_base::shutdown_both, ignored);
--- a/tests/support/scripted_server.hpp
+++ b/tests/support/scripted_server.hpp
@@ -18,6 +18,8 @@
 
     /** Reads a message with an optional Content-Length. @returns an empty string at the end of the stream */
     std::string read_message();
+    /** Reads until this many bytes have arrived in all that no message was read from, or the stream ends. */
+    void read_bytes(std::size_t size);
     /** Reads until the peer closes or resets the connection. @returns all bytes up to there */
     std::string read_all();
     /** @returns false if the connection is closed */
@@ -26,6 +28,8 @@
     void reset();
     /** Closes the connection after all written bytes. */
     void close();
+    /** Ends the stream of sent bytes; the connection can still be read. */
+    void end_sending();
     /** Makes all calls that wait return. Thread-safe until the connection is closed. */
     void shut_down();
 
