A status that HTTP does not have is no response

Cause: the parser takes any three digits for a status, and no place asked more. Found beside it: a transfer coding other than chunked was dropped with its header, so that the coded bytes counted as the body; 101 was skipped like other interim responses though nobody had asked for another protocol. Change: read_head() rejects statuses outside 100 to 599, 101, and any transfer coding but one "chunked", as bytes that are no response: the request may have run, the server counts as failed, not as crashed. A contradictory length was rejected by the parser before; the test holds that too. Evidence: statuses_that_http_does_not_have_are_no_response and contradictory_framing_is_no_response failed on (000; Transfer-Encoding: gzip) and pass now. Conclusion: 502 to callers, another attempt where the request may be repeated.

--- a/modules/transport/forwarding_connection.cpp
+++ b/modules/transport/forwarding_connection.cpp
@@ -23,6 +23,8 @@
 /** Intervals at which the kernel is asked whether the server has taken the request. */
 constexpr auto first_taken_check = std::chrono::milliseconds{1};
 constexpr auto longest_taken_check = std::chrono::milliseconds{20};
+constexpr unsigned min_status = 100;
+constexpr unsigned max_status = 599;
 
 template <int Level, int Name>
 using int_option = asio::detail::socket_option::integer<Level, Name>;
@@ -41,6 +43,21 @@
     socket.set_option(int_option<IPPROTO_TCP, TCP_USER_TIMEOUT>{tcp_user_timeout_ms}, ignored);
 }
 
+/** @returns what HTTP does not allow in a head that could be parsed, or nullptr */
+const char* find_malformed(const http::response_header<>& head) {
+    const unsigned status = head.result_int();
+    if (status < min_status || status > max_status) {
+        return "a status that HTTP does not have";
+    }
+    if (head.result() == http::status::switching_protocols) {
+        return "a change of the protocol that was not asked for";
+    }
+    const auto codings = head.count(http::field::transfer_encoding);
+    const bool is_plain_or_chunked =
+        codings == 0 || (codings == 1 && beast::iequals(head[http::field::transfer_encoding], "chunked"));
+    return is_plain_or_chunked ? nullptr : "a transfer coding that was not asked for";
+}
+
 } // namespace
 
 std::optional<std::string_view> response_head::header(std::string_view name) const {
@@ -66,6 +83,12 @@
     abort_with_error("http.read", beast::error::timeout, why);
 }
 
+void forwarding_connection::abort_malformed(const char* reason, error& why) {
+    why = {"http.read", address_, reason};
+    has_misbehaved_ = true;
+    abort();
+}
+
 void forwarding_connection::abort() {
     is_aborted_ = true;
     boost::system::error_code ignored;
@@ -168,6 +191,10 @@
         abort_with_error("http.read", code, why);
         co_return std::nullopt;
     }
+    if (const char* reason = find_malformed(parser_->get()); reason != nullptr) {
+        abort_malformed(reason, why);
+        co_return std::nullopt;
+    }
     response_head head;
     head.status = parser_->get().result_int();
     head.is_chunked = parser_->chunked();
--- a/modules/transport/include/lovageledge/transport/forwarding_connection.hpp
+++ b/modules/transport/include/lovageledge/transport/forwarding_connection.hpp
@@ -78,6 +78,8 @@
     void abort_with_error(const char* step, const boost::system::error_code& code, error& why);
     /** As abort_with_error(), at a deadline that the server has not kept though it is sending. */
     void abort_at_deadline(error& why);
+    /** As abort_with_error(), for a head that HTTP does not allow. */
+    void abort_malformed(const char* reason, error& why);
     /** Waits until the server has taken the request. @returns false and sets why if it does not */
     asio::awaitable<bool> wait_until_request_taken(time_point deadline, error& why);
     void update_idle_limit(const response_head& head);
--- a/tests/gateway/incomplete_responses_test.cpp
+++ b/tests/gateway/incomplete_responses_test.cpp
@@ -18,6 +18,8 @@
     CPPUNIT_TEST(response_is_complete_if_the_server_reads_the_rest_of_the_request);
     CPPUNIT_TEST(response_is_not_complete_if_the_server_never_takes_the_rest_of_the_request);
     CPPUNIT_TEST(response_with_a_length_is_complete_though_the_request_was_not_taken);
+    CPPUNIT_TEST(statuses_that_http_does_not_have_are_no_response);
+    CPPUNIT_TEST(contradictory_framing_is_no_response);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t upload_bytes = std::size_t{3} * 1024 * 1024;
@@ -70,6 +72,16 @@
 
     static std::string body() { return std::string(body_bytes, 'b'); }
 
+    /** The response of a server that answers each request at once. */
+    static observation observe_response(const std::string& response) {
+        const scripted_server server{[&](blocking_connection& connection, int) {
+            connection.read_message();
+            connection.write(response);
+            connection.read_message();
+        }};
+        return observe(server, 0, milliseconds{400});
+    }
+
 public:
     // A part of a body was taken for a whole one: only the writing side was told of the reset.
     void response_is_not_complete_if_its_connection_is_reset_while_the_request_is_written() {
@@ -133,6 +145,38 @@
         CPPUNIT_ASSERT_MESSAGE(seen.why.text(), seen.is_complete);
         CPPUNIT_ASSERT(!seen.keeps_alive);
     }
+
+    // The status 000 of a server in trouble reached callers as an answer.
+    void statuses_that_http_does_not_have_are_no_response() {
+        for (const char* status : {"000", "001", "099", "101", "600", "999"}) {
+            const observation seen =
+                observe_response(std::string{"HTTP/1.1 "} + status + " Odd\r\nContent-Length: 2\r\n\r\nok");
+            CPPUNIT_ASSERT_MESSAGE(status, !seen.head);
+            CPPUNIT_ASSERT_MESSAGE(status, seen.has_misbehaved);
+        }
+        for (const char* status : {"200", "299", "404", "599"}) {
+            const observation seen =
+                observe_response(std::string{"HTTP/1.1 "} + status + " Odd\r\nContent-Length: 2\r\n\r\nok");
+            CPPUNIT_ASSERT_MESSAGE(status, seen.is_complete);
+        }
+    }
+
+    // What such a body is depends on which of its fields is believed.
+    void contradictory_framing_is_no_response() {
+        for (const char* fields :
+             {"Content-Length: 2\r\nContent-Length: 3\r\n", "Content-Length: 2, 3\r\n",
+              "Content-Length: -2\r\n", "Content-Length: +2\r\n", "Content-Length: 2x\r\n",
+              "Content-Length:\r\n", "Content-Length: 99999999999999999999999\r\n",
+              "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+              "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n", "Transfer-Encoding: gzip\r\n",
+              "Transfer-Encoding: gzip, chunked\r\n", "Transfer-Encoding: chunked, gzip\r\n",
+              "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"}) {
+            const observation seen =
+                observe_response(std::string{"HTTP/1.1 200 OK\r\n"} + fields + "\r\n2\r\nok\r\n0\r\n\r\n");
+            CPPUNIT_ASSERT_MESSAGE(fields, !seen.head);
+            CPPUNIT_ASSERT_MESSAGE(fields, seen.has_misbehaved);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(incomplete_responses_test);
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -97,6 +97,7 @@
     CPPUNIT_TEST(responses_and_failures_set_the_pace_of_a_recovered_server);
     CPPUNIT_TEST(exceptions_do_not_keep_servers_occupied);
     CPPUNIT_TEST(part_of_a_response_is_not_passed_on_if_the_upload_was_reset);
+    CPPUNIT_TEST(status_that_http_does_not_have_is_not_passed_on);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* plain_path = "/plain/";
@@ -275,6 +276,24 @@
         }
     }
 
+    // The status 000 of a server in trouble reached the caller.
+    void status_that_http_does_not_have_is_not_passed_on() {
+        for (const char* status : {"000 ", "099 Odd", "600 Odd", "999 Odd"}) {
+            const scripted_server server{[&](blocking_connection& connection, int) {
+                connection.read_message();
+                connection.write(response(status, run_headers("1"), "body"));
+                connection.read_message();
+            }};
+            start({&server});
+            const std::string answer = request(plain_path, "1");
+            CPPUNIT_ASSERT_MESSAGE(answer, has_status(answer, 502));
+            gateway_->stop();
+            const backend* failed = gateway_->state.directory.find(server_name{"server-1"});
+            CPPUNIT_ASSERT_EQUAL(1U, failed->consecutive_failures);
+            gateway_.reset();
+        }
+    }
+
     void response_whose_head_ends_early_is_no_success() {
         const std::string buffered = response("200 OK", run_headers("1"), "whole");
         const std::string streamed = stream_head("1");
