A response without content to a request for a stream is not taken for a cut stream

Callers saw: 502 for a server's 204. Cause: HTTP ends a 204 and a 304 with their head; the stream's end was asked for instead, and a stream without events and framing has been cut. Change: such a response is passed on as a whole one. Evidence: response_without_content_is_no_cut_stream failed before the change (502) and passes now.

--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -579,7 +579,7 @@
     }
     state_.directory.on_success(listing.name);
     attempt_outcome result = attempt_outcome::finished;
-    if (route_->kind == request_kind::stream && is_success) {
+    if (route_->kind == request_kind::stream && is_success && head->may_have_body()) {
         result = co_await forward_stream(connection, listing, *head);
     } else {
         result = co_await forward_buffered(connection, listing, *head);
--- a/modules/transport/include/lovageledge/transport/forwarding_connection.hpp
+++ b/modules/transport/include/lovageledge/transport/forwarding_connection.hpp
@@ -21,6 +21,8 @@
 
     /** @returns true if another head, the one of the final response, follows */
     bool is_interim() const { return status >= 100 && status < 200; }
+    /** @returns false if HTTP ends the response with its head, whatever the headers say */
+    bool may_have_body() const { return !is_interim() && status != 204 && status != 304; }
     /** @returns the value of the first header with this name, or nothing. @param name case-insensitive */
     std::optional<std::string_view> header(std::string_view name) const;
 };
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -98,6 +98,7 @@
     CPPUNIT_TEST(exceptions_do_not_keep_servers_occupied);
     CPPUNIT_TEST(part_of_a_response_is_not_passed_on_if_the_upload_was_reset);
     CPPUNIT_TEST(status_that_http_does_not_have_is_not_passed_on);
+    CPPUNIT_TEST(response_without_content_is_no_cut_stream);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* plain_path = "/plain/";
@@ -294,6 +295,20 @@
         }
     }
 
+    // A 204 to a request for a stream became a 502.
+    void response_without_content_is_no_cut_stream() {
+        const scripted_server server{[&](blocking_connection& connection, int) {
+            connection.read_message();
+            connection.write("HTTP/1.1 204 No Content\r\n" + run_headers("1") + "\r\n");
+            connection.read_message();
+        }};
+        start({&server});
+        const std::string answer = request(once_path, "1");
+        CPPUNIT_ASSERT_MESSAGE(answer, has_status(answer, 204));
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with("\r\n\r\n"));
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.find("Transfer-Encoding") == std::string::npos);
+    }
+
     void response_whose_head_ends_early_is_no_success() {
         const std::string buffered = response("200 OK", run_headers("1"), "whole");
         const std::string streamed = stream_head("1");
