A server that cuts its responses has failed

Callers saw: one 502 after another from a server that sends its heads and breaks off each body: it was never avoided. Cause: a head ended the server's period of failures, and a body that broke off began none, unless it belonged to a stream. Change: a buffered response ends failures when it is whole, and counts as one when the server breaks it off. What the gateway itself ends (callers that left, stops) counts as before.

--- a/modules/gateway/include/lovageledge/gateway/request_handler.hpp
+++ b/modules/gateway/include/lovageledge/gateway/request_handler.hpp
@@ -87,6 +87,8 @@
     static bool has_room(memory_share& memory, std::size_t bytes);
     /** @returns why has_room() has failed */
     static std::string too_long_reason(const memory_share& memory);
+    /** Records that a server responds as it should, which ends a period of failures. */
+    void end_failures(const server_name& name);
     /** Processes what a response says about its server, whichever request it belongs to. */
     void process_notices(const server_listing& listing, const response_attributes& attributes);
     asio::awaitable<attempt_outcome>
--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -573,13 +573,9 @@
         connection->abort();
         co_return has_stream_started_ ? attempt_outcome::stream_interrupted : attempt_outcome::unknown;
     }
-    if (const backend* current = state_.directory.find(listing.name);
-        current != nullptr && current->consecutive_failures >= min_failures_of_a_period) {
-        state_.pace.on_recovered(listing.name, state_.now());
-    }
-    state_.directory.on_success(listing.name);
     attempt_outcome result = attempt_outcome::finished;
     if (route_->kind == request_kind::stream && is_success && head->may_have_body()) {
+        end_failures(listing.name);
         result = co_await forward_stream(connection, listing, *head);
     } else {
         result = co_await forward_buffered(connection, listing, *head);
@@ -588,6 +584,14 @@
     co_return result;
 }
 
+void request_handler::end_failures(const server_name& name) {
+    const backend* server = state_.directory.find(name);
+    if (server != nullptr && server->consecutive_failures >= min_failures_of_a_period) {
+        state_.pace.on_recovered(name, state_.now());
+    }
+    state_.directory.on_success(name);
+}
+
 void request_handler::process_notices(const server_listing& listing, const response_attributes& attributes) {
     if (attributes.server && *attributes.server != listing.name) {
         return; // Another server has taken over the address.
@@ -715,10 +719,11 @@
         if (!part || is_too_long) {
             last_error_ = is_too_long ? too_long_reason(*memory) : failure.text();
             connection->abort();
-            if (is_too_long) {
+            const bool is_ended_here = is_caller_gone_ || is_ended_by_stop_;
+            if (is_too_long || !is_ended_here) {
                 state_.directory.on_failure(listing.name, state_.now());
             }
-            if (!is_too_long && !is_caller_gone_ && !is_ended_by_stop_) {
+            if (!is_too_long && !is_ended_here) {
                 record_broken_answer(listing);
             }
             co_return attempt_outcome::unknown;
@@ -730,6 +735,7 @@
         body.append(*part);
     }
     memory->set_complete();
+    end_failures(listing.name);
     const bool is_success = head.status >= 200 && head.status < 300;
     if (is_success) {
         record_success(listing);
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -99,6 +99,7 @@
     CPPUNIT_TEST(part_of_a_response_is_not_passed_on_if_the_upload_was_reset);
     CPPUNIT_TEST(status_that_http_does_not_have_is_not_passed_on);
     CPPUNIT_TEST(response_without_content_is_no_cut_stream);
+    CPPUNIT_TEST(server_whose_responses_are_cut_has_failed);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* plain_path = "/plain/";
@@ -309,6 +310,22 @@
         CPPUNIT_ASSERT_MESSAGE(answer, answer.find("Transfer-Encoding") == std::string::npos);
     }
 
+    // A head counted as success, so that a server that cut all its responses was never avoided.
+    void server_whose_responses_are_cut_has_failed() {
+        const scripted_server server{[&](blocking_connection& connection, int) {
+            const std::string id = id_of(connection.read_message());
+            connection.write("HTTP/1.1 200 OK\r\n" + run_headers(id) + "Content-Length: 10\r\n\r\npart");
+            connection.close();
+        }};
+        start({&server});
+        for (const char* id : {"1", "2"}) {
+            CPPUNIT_ASSERT(has_status(request(plain_path, id), 502));
+        }
+        gateway_->stop();
+        CPPUNIT_ASSERT_EQUAL(2U,
+                             gateway_->state.directory.find(server_name{"server-1"})->consecutive_failures);
+    }
+
     void response_whose_head_ends_early_is_no_success() {
         const std::string buffered = response("200 OK", run_headers("1"), "whole");
         const std::string streamed = stream_head("1");
