Callers' deadlines and refusals of uploads are no failures of servers

Callers saw: a sound server avoided, since their own short deadlines ended while it sent its body; an upload that a server refused (413 without a length, an orderly end, a reset) counted as a crash of the server; a refusal as not run held for 0.2 s for a body that nothing reads. Counting cut bodies as failures did not ask who ended them; the end of a body that ends with its connection waits for the upload, also where the body decides nothing.

--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -551,6 +551,10 @@
     is_attempt_open_ = false;
     if (attributes.is_not_run) {
         const attempt_outcome result = on_not_run_response(listing.name, *head, attributes);
+        if (framing_ == body_framing::close) {
+            connection->abort();
+            co_return result;
+        }
         const time_point body_limit = std::min(deadline_, state_.now() + refusal_body_time);
         error failure;
         std::optional<std::string_view> rest;
@@ -719,11 +723,13 @@
         if (!part || is_too_long) {
             last_error_ = is_too_long ? too_long_reason(*memory) : failure.text();
             connection->abort();
-            const bool is_ended_here = is_caller_gone_ || is_ended_by_stop_;
-            if (is_too_long || !is_ended_here) {
+            // A server that refuses an upload may reset its connection after its response.
+            const bool is_refusal = head.status >= 400 && head.status < 500;
+            const bool is_broken_off = !is_too_long && !is_caller_gone_ && !is_ended_by_stop_ && !is_refusal;
+            if (is_too_long || (is_broken_off && state_.now() < deadline_)) {
                 state_.directory.on_failure(listing.name, state_.now());
             }
-            if (!is_too_long && !is_ended_here) {
+            if (is_broken_off) {
                 record_broken_answer(listing);
             }
             co_return attempt_outcome::unknown;
--- a/tests/gateway/incomplete_responses_test.cpp
+++ b/tests/gateway/incomplete_responses_test.cpp
@@ -49,12 +49,13 @@
                              "\r\n\r\n",
                          std::make_shared<const std::string>(request_bytes, 'u'));
         seen.head = co_await connection->read_head(deadline, seen.why);
-        std::optional<std::string_view> part;
-        do {
-            part = seen.head ? co_await connection->read_some(deadline, seen.why) : std::nullopt;
+        bool is_broken = !seen.head;
+        while (!is_broken && !seen.is_complete) {
+            const auto part = co_await connection->read_some(deadline, seen.why);
             seen.body += part.value_or("");
-        } while (part && !part->empty());
-        seen.is_complete = part.has_value();
+            is_broken = !part;
+            seen.is_complete = part && part->empty();
+        }
         seen.keeps_alive = connection->keeps_alive();
         seen.has_misbehaved = connection->has_misbehaved();
         connection->abort();
@@ -153,6 +154,9 @@
                 observe_response(std::string{"HTTP/1.1 "} + status + " Odd\r\nContent-Length: 2\r\n\r\nok");
             CPPUNIT_ASSERT_MESSAGE(status, !seen.head);
             CPPUNIT_ASSERT_MESSAGE(status, seen.has_misbehaved);
+            CPPUNIT_ASSERT_MESSAGE(seen.why.text(),
+                                   seen.why.reason.find("HTTP") != std::string::npos ||
+                                       seen.why.reason.find("protocol") != std::string::npos);
         }
         for (const char* status : {"200", "299", "404", "599"}) {
             const observation seen =
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -100,6 +100,9 @@
     CPPUNIT_TEST(status_that_http_does_not_have_is_not_passed_on);
     CPPUNIT_TEST(response_without_content_is_no_cut_stream);
     CPPUNIT_TEST(server_whose_responses_are_cut_has_failed);
+    CPPUNIT_TEST(short_deadlines_of_callers_do_not_make_a_server_avoided);
+    CPPUNIT_TEST(refused_upload_is_no_crash);
+    CPPUNIT_TEST(refusal_of_an_upload_does_not_hold_the_request);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* plain_path = "/plain/";
@@ -326,6 +329,69 @@
                              gateway_->state.directory.find(server_name{"server-1"})->consecutive_failures);
     }
 
+    // Deadlines that end while a sound server sends a response counted as failures of the server.
+    void short_deadlines_of_callers_do_not_make_a_server_avoided() {
+        const scripted_server server{[&](blocking_connection& connection, int) {
+            const std::string id = id_of(connection.read_message());
+            connection.write("HTTP/1.1 200 OK\r\n" + run_headers(id) + "Content-Length: 8\r\n\r\npart");
+            std::this_thread::sleep_for(milliseconds{200});
+            connection.write("part");
+            connection.read_message();
+        }};
+        start({&server});
+        for (int i = 0; i < 4; ++i) {
+            CPPUNIT_ASSERT(!has_status(request(plain_path, std::to_string(i), 100), 200));
+        }
+        const auto sent_at = std::chrono::steady_clock::now();
+        const std::string answer = request(plain_path, "sound", 1500);
+        const auto took =
+            std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - sent_at);
+        gateway_->stop();
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(took.count()) + " ms: " + answer, has_status(answer, 200));
+        gateway_.reset();
+        start({&server});
+        for (int i = 0; i < 4; ++i) {
+            request(plain_path, std::to_string(i), 100);
+        }
+        gateway_->stop();
+        CPPUNIT_ASSERT_EQUAL(0U, failures());
+    }
+
+    // A server that refuses an upload was taken for one that the request has crashed.
+    void refused_upload_is_no_crash() {
+        const scripted_server server{[&](blocking_connection& connection, int) {
+            connection.write("HTTP/1.1 413 Too Large\r\n" + run_headers("1") +
+                             "Connection: close\r\n\r\ntoo large");
+            connection.end_sending();
+            std::this_thread::sleep_for(milliseconds{100});
+            connection.reset();
+        }};
+        start({&server});
+        const std::string answer = request_with_body(plain_path, std::string(std::size_t{900} * 1024, 'u'));
+        const std::string metrics = gateway_->state.counters.text();
+        gateway_->stop();
+        CPPUNIT_ASSERT_MESSAGE(answer + metrics,
+                               metrics.find("crash_sightings_total 1") == std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(0U, failures());
+        CPPUNIT_ASSERT_MESSAGE(answer, has_status(answer, 502));
+    }
+
+    // A refusal was waited for until the server had taken the upload that it refused.
+    void refusal_of_an_upload_does_not_hold_the_request() {
+        const scripted_server full{[&](blocking_connection& connection, int) {
+            connection.write("HTTP/1.1 503 Full\r\n" + id_header("1") +
+                             "X-Not-Executed: 1\r\nConnection: close\r\n\r\nfull");
+            connection.end_sending();
+            std::this_thread::sleep_for(milliseconds{1000});
+        }};
+        start({&full});
+        const auto sent_at = std::chrono::steady_clock::now();
+        const std::string answer = request_with_body(plain_path, std::string(std::size_t{900} * 1024, 'u'));
+        const auto took =
+            std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - sent_at);
+        CPPUNIT_ASSERT_MESSAGE(answer + std::to_string(took.count()), took < milliseconds{150});
+    }
+
     void response_whose_head_ends_early_is_no_success() {
         const std::string buffered = response("200 OK", run_headers("1"), "whole");
         const std::string streamed = stream_head("1");
@@ -1209,6 +1275,10 @@
     }
 
 private:
+    std::uint32_t failures() const {
+        return gateway_->state.directory.find(server_name{"server-1"})->consecutive_failures;
+    }
+
     std::uint32_t allowance(const server_name& name) const {
         return gateway_->state.pace.allowance(name, gateway_->state.now());
     }
