Responses without content end with their head wherever that is asked

Callers saw: the end of the gateway's process, when a stream that was resumed was answered 204 there (an assertion; new with the passing on of a 204); requests that were answered 204 refused as crashing servers; 502 where a late 204 to an earlier request lay before the response; a Content-Length in a 204 and a 304, which HTTP forbids. That a 204 or 304 has no body was asked in one place; its framing, its length and the state of a stream did not ask. Change: framing_of() knows heads that end the response; a resumed stream is broken off by one; a response to another request is skipped unless it ends with its connection; no length is added. Evidence: response_without_content_is_not_joined_to_a_resumed_stream (the process ended, 4 of 4), requests_answered_without_content_are_not_taken_for_crashes, late_response_without_content_is_skipped and responses_without_content_have_no_length failed on and pass now; the last one's server reads each request now, and the test asks for the status too. Conclusion: one place tells whether a response may have a body.

--- a/modules/gateway/include/lovageledge/gateway/message_heads.hpp
+++ b/modules/gateway/include/lovageledge/gateway/message_heads.hpp
@@ -11,7 +11,7 @@
 
 /** How the end of a response's body is told. */
 enum class body_framing : std::uint8_t {
-    /** There is no head yet. */
+    /** There is no head yet, or HTTP ends the response with it. */
     none,
     length,
     chunks,
--- a/modules/gateway/message_heads.cpp
+++ b/modules/gateway/message_heads.cpp
@@ -38,6 +38,9 @@
 }
 
 body_framing framing_of(const response_head& head) {
+    if (!head.may_have_body()) {
+        return body_framing::none;
+    }
     if (head.is_chunked) {
         return body_framing::chunks;
     }
--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -566,7 +566,7 @@
     }
     ++possible_runs_;
     const bool is_success = head->status >= 200 && head->status < 300;
-    if (has_stream_started_ && !is_success) {
+    if (has_stream_started_ && (!is_success || !head->may_have_body())) {
         // The caller is in the middle of the stream, so that no other response may follow.
         last_error_ = fmt::format("server answered {} instead of resuming the stream", head->status);
         connection->abort();
@@ -648,12 +648,15 @@
         if (is_response_to(*connection, attributes)) {
             co_return head;
         }
-        // A late or repeated response to an earlier request; the one to this request is still to come.
-        std::optional<std::string_view> part;
-        do {
-            part = co_await connection->read_some(limit, failure);
-        } while (part && !part->empty());
-        if (!part || (!head->content_length && !head->is_chunked)) {
+        // A late or repeated response to an earlier request; the one to this request is still to come, unless
+        // the connection ends.
+        bool is_skipped = framing_of(*head) != body_framing::close;
+        for (bool is_read = false; is_skipped && !is_read;) {
+            const auto part = co_await connection->read_some(limit, failure);
+            is_skipped = part.has_value();
+            is_read = part && part->empty();
+        }
+        if (!is_skipped) {
             last_error_ = "an answer to another request";
             co_return std::nullopt;
         }
--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -175,7 +175,11 @@
 
 asio::awaitable<bool> http_exchange::write_response(http::response<http::string_body> response) {
     response.keep_alive(request_->keep_alive());
-    response.prepare_payload();
+    const bool may_have_length =
+        response.result() != http::status::no_content && response.result() != http::status::not_modified;
+    if (may_have_length) {
+        response.prepare_payload();
+    }
     begin_write(response.body().size());
     boost::system::error_code code;
     co_await http::async_write(stream_, response, asio::redirect_error(asio::use_awaitable, code));
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -100,8 +100,12 @@
     CPPUNIT_TEST(status_that_http_does_not_have_is_not_passed_on);
     CPPUNIT_TEST(response_without_content_is_no_cut_stream);
     CPPUNIT_TEST(server_whose_responses_are_cut_has_failed);
+    CPPUNIT_TEST(response_without_content_is_not_joined_to_a_resumed_stream);
     CPPUNIT_TEST(short_deadlines_of_callers_do_not_make_a_server_avoided);
     CPPUNIT_TEST(refused_upload_is_no_crash);
+    CPPUNIT_TEST(responses_without_content_have_no_length);
+    CPPUNIT_TEST(late_response_without_content_is_skipped);
+    CPPUNIT_TEST(requests_answered_without_content_are_not_taken_for_crashes);
     CPPUNIT_TEST(refusal_of_an_upload_does_not_hold_the_request);
     CPPUNIT_TEST_SUITE_END();
 
@@ -329,6 +333,14 @@
                              gateway_->state.directory.find(server_name{"server-1"})->consecutive_failures);
     }
 
+    // A second status line was written into the stream of a caller.
+    void response_without_content_is_not_joined_to_a_resumed_stream() {
+        const auto answer = resume_with([](blocking_connection& connection, const std::string& id) {
+            connection.write("HTTP/1.1 204 No Content\r\n" + run_headers(id) + "\r\n");
+        });
+        assert_broken_off(answer, 2);
+    }
+
     // Deadlines that end while a sound server sends a response counted as failures of the server.
     void short_deadlines_of_callers_do_not_make_a_server_avoided() {
         const scripted_server server{[&](blocking_connection& connection, int) {
@@ -376,6 +388,73 @@
         CPPUNIT_ASSERT_MESSAGE(answer, has_status(answer, 502));
     }
 
+    void responses_without_content_have_no_length() {
+        for (const std::string status : {"204 No Content", "304 Not Modified"}) {
+            const scripted_server server{[&](blocking_connection& connection, int) {
+                while (!connection.read_message().empty()) {
+                    connection.write(fmt::format("HTTP/1.1 {}\r\n{}\r\n", status, run_headers("1")));
+                }
+            }};
+            start({&server});
+            for (const char* path : {plain_path, once_path}) {
+                const std::string answer = request(path, "1");
+                CPPUNIT_ASSERT_MESSAGE(answer, has_status(answer, std::stoi(status)));
+                CPPUNIT_ASSERT_MESSAGE(answer, answer.find("Content-Length") == std::string::npos);
+            }
+            gateway_.reset();
+        }
+    }
+
+    // A 204 to an earlier request ended the connection for the next one.
+    void late_response_without_content_is_skipped() {
+        const scripted_server server{[&](blocking_connection& connection, int) {
+            connection.read_message();
+            connection.write(response("200 OK", run_headers("1"), "first"));
+            const std::string second = id_of(connection.read_message());
+            connection.write("HTTP/1.1 204 No Content\r\n" + run_headers("1") + "\r\n" +
+                             response("200 OK", run_headers(second), "second"));
+            connection.read_message();
+        }};
+        start({&server});
+        CPPUNIT_ASSERT(has_status(request(plain_path, "1"), 200));
+        const std::string answer = request(plain_path, "2");
+        CPPUNIT_ASSERT_EQUAL(1, server.connections());
+        CPPUNIT_ASSERT_MESSAGE(answer, has_status(answer, 200));
+    }
+
+    // Requests whose 204 was whole were held responsible for the next request's broken connection.
+    void requests_answered_without_content_are_not_taken_for_crashes() {
+        const scripted_server server{[&](blocking_connection& connection, int) {
+            while (true) {
+                const std::string message = connection.read_message();
+                if (message.empty()) {
+                    return;
+                }
+                if (message.find("/plain/bad") != std::string::npos) {
+                    connection.reset();
+                    return;
+                }
+                connection.write("HTTP/1.1 204 No Content\r\n" + run_headers(id_of(message)) + "\r\n");
+            }
+        }};
+        start({&server});
+        const std::string good = std::string{plain_path} + "good";
+        for (std::uint64_t start = 2; start < 6; ++start) {
+            const std::string answer = request(good, "g" + std::to_string(start));
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(start) + answer, has_status(answer, 204));
+            request(fmt::format("{}bad{}", plain_path, start), "b" + std::to_string(start));
+            asio::post(gateway_->context, [&, start] {
+                gateway_state& state = gateway_->state;
+                server_listing entry = state.directory.find(server_name{"server-1"})->listing;
+                entry.started_at = start;
+                state.directory.on_listed(entry, state.now());
+            });
+            std::this_thread::sleep_for(milliseconds{300});
+        }
+        const std::string answer = request(good, "last");
+        CPPUNIT_ASSERT_MESSAGE(answer, has_status(answer, 204));
+    }
+
     // A refusal was waited for until the server had taken the upload that it refused.
     void refusal_of_an_upload_does_not_hold_the_request() {
         const scripted_server full{[&](blocking_connection& connection, int) {
