A client connection takes only a final head that HTTP allows for a response

Callers saw: a 100 or 103 of the store, of an engine or of a plain service was taken for the response, and the response behind it for the one to the next request; statuses such as 000 and 999, a 101 and a body in gzip were passed on. Cause: exchange() and exchange_stream() took what the parser accepts. Change: find_malformed() moves to response_check and both connections use it; interim responses are skipped, at most 16. The head of a stream is read as exchange() reads a head, with read_limit.

--- a/modules/transport/forwarding_connection.cpp
+++ b/modules/transport/forwarding_connection.cpp
@@ -1,5 +1,6 @@
 #include "lovageledge/transport/forwarding_connection.hpp"
 
+#include "lovageledge/transport/response_check.hpp"
 #include "lovageledge/transport/socket_output.hpp"
 
 #include <algorithm>
@@ -23,8 +24,6 @@
 /** Intervals at which the kernel is asked whether the server has taken the request. */
 constexpr auto first_taken_check = std::chrono::milliseconds{1};
 constexpr auto longest_taken_check = std::chrono::milliseconds{20};
-constexpr unsigned min_status = 100;
-constexpr unsigned max_status = 599;
 
 template <int Level, int Name>
 using int_option = asio::detail::socket_option::integer<Level, Name>;
@@ -43,21 +42,6 @@
     socket.set_option(int_option<IPPROTO_TCP, TCP_USER_TIMEOUT>{tcp_user_timeout_ms}, ignored);
 }
 
-/** @returns what HTTP does not allow in a head that could be parsed, or nullptr */
-const char* find_malformed(const http::response_header<>& head) {
-    const unsigned status = head.result_int();
-    if (status < min_status || status > max_status) {
-        return "a status that HTTP does not have";
-    }
-    if (head.result() == http::status::switching_protocols) {
-        return "a change of the protocol that was not asked for";
-    }
-    const auto codings = head.count(http::field::transfer_encoding);
-    const bool is_plain_or_chunked =
-        codings == 0 || (codings == 1 && beast::iequals(head[http::field::transfer_encoding], "chunked"));
-    return is_plain_or_chunked ? nullptr : "a transfer coding that was not asked for";
-}
-
 } // namespace
 
 std::optional<std::string_view> response_head::header(std::string_view name) const {
--- a/modules/transport/http_connection.cpp
+++ b/modules/transport/http_connection.cpp
@@ -1,5 +1,7 @@
 #include "lovageledge/transport/http_connection.hpp"
 
+#include "lovageledge/transport/response_check.hpp"
+
 #include <array>
 #include <charconv>
 
@@ -7,6 +9,7 @@
 namespace {
 
 constexpr std::size_t read_buffer_bytes = std::size_t{16} * 1024;
+constexpr int max_interim_responses = 16;
 
 } // namespace
 
@@ -101,24 +104,61 @@
     co_return !code;
 }
 
+template <typename Body>
+asio::awaitable<boost::system::error_code> http_connection::read_some(http::response_parser<Body>& parser,
+                                                                      time_point deadline) {
+    boost::system::error_code code;
+    limit_.start(deadline);
+    co_await http::async_read_some(stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, code));
+    limit_.stop();
+    code = limit_.translated(code);
+    co_return code == http::error::need_buffer ? boost::system::error_code{} : code;
+}
+
+template <typename Body>
+asio::awaitable<bool> http_connection::read_head(std::optional<http::response_parser<Body>>& parser,
+                                                 time_point deadline, error& why) {
+    stream_.expires_never();
+    for (int skipped = 0; skipped <= max_interim_responses; ++skipped) {
+        parser.emplace();
+        parser->body_limit(max_body_bytes_);
+        boost::system::error_code code;
+        while (!code && !parser->is_header_done()) {
+            code = co_await read_some(*parser, deadline);
+        }
+        if (code) {
+            close_with_error("http.read", code, why);
+            co_return false;
+        }
+        if (const char* reason = find_malformed(parser->get()); reason != nullptr) {
+            why = {"http.read", address_, reason};
+            close();
+            co_return false;
+        }
+        if (parser->get().result_int() >= 200) {
+            co_return true;
+        }
+    }
+    why = {"http.read", address_, "too many interim responses"};
+    close();
+    co_return false;
+}
+
 asio::awaitable<std::optional<http_response>>
 http_connection::exchange(http_request request, duration timeout, error& why, bool& may_have_sent) {
     const time_point deadline = std::chrono::steady_clock::now() + timeout;
     if (!co_await send(std::move(request), timeout, why, may_have_sent)) {
         co_return std::nullopt;
     }
+    std::optional<http::response_parser<http::string_body>> parser;
+    if (!co_await read_head(parser, deadline, why)) {
+        co_return std::nullopt;
+    }
+    parser->eager(true);
     boost::system::error_code code;
-    http::response_parser<http::string_body> parser;
-    parser.eager(true);
-    parser.body_limit(max_body_bytes_);
-    stream_.expires_never();
-    while (!code && !parser.is_done()) {
-        limit_.start(deadline);
-        co_await http::async_read_some(stream_, buffer_, parser,
-                                       asio::redirect_error(asio::use_awaitable, code));
-        limit_.stop();
-        code = limit_.translated(code);
-        if (!code && !parser.is_done() && has_passed(deadline)) {
+    while (!code && !parser->is_done()) {
+        code = co_await read_some(*parser, deadline);
+        if (!code && !parser->is_done() && has_passed(deadline)) {
             code = beast::error::timeout;
         }
     }
@@ -126,8 +166,8 @@
         close_with_error("http.read", code, why);
         co_return std::nullopt;
     }
-    const bool is_persistent = parser.get().keep_alive();
-    http_response response{parser.get().result_int(), std::move(parser.get().body())};
+    const bool is_persistent = parser->get().keep_alive();
+    http_response response{parser->get().result_int(), std::move(parser->get().body())};
     if (!is_persistent) {
         close();
     }
@@ -138,25 +178,23 @@
 http_connection::exchange_stream(http_request request,
                                  std::function<asio::awaitable<bool>(std::string_view)> on_bytes,
                                  std::function<duration()> next_timeout, error& why, bool& may_have_sent) {
-    if (!co_await send(std::move(request), next_timeout(), why, may_have_sent)) {
+    const duration head_timeout = next_timeout();
+    const time_point head_deadline = std::chrono::steady_clock::now() + head_timeout;
+    if (!co_await send(std::move(request), head_timeout, why, may_have_sent)) {
         co_return std::nullopt;
     }
-    boost::system::error_code code;
-    http::response_parser<http::buffer_body> parser;
-    parser.body_limit(max_body_bytes_);
-    co_await http::async_read_header(stream_, buffer_, parser,
-                                     asio::redirect_error(asio::use_awaitable, code));
-    if (code) {
-        close_with_error("http.read", code, why);
+    std::optional<http::response_parser<http::buffer_body>> parser;
+    if (!co_await read_head(parser, head_deadline, why)) {
         co_return std::nullopt;
     }
-    http_response response{parser.get().result_int(), ""};
+    http_response response{parser->get().result_int(), ""};
     std::array<char, read_buffer_bytes> read_buffer{};
-    while (!parser.is_done()) {
-        parser.get().body().data = read_buffer.data();
-        parser.get().body().size = read_buffer.size();
+    while (!parser->is_done()) {
+        parser->get().body().data = read_buffer.data();
+        parser->get().body().size = read_buffer.size();
         stream_.expires_after(next_timeout());
-        co_await http::async_read_some(stream_, buffer_, parser,
+        boost::system::error_code code;
+        co_await http::async_read_some(stream_, buffer_, *parser,
                                        asio::redirect_error(asio::use_awaitable, code));
         if (code == http::error::need_buffer) {
             code = {};
@@ -165,7 +203,7 @@
             close_with_error("http.read", code, why);
             co_return std::nullopt;
         }
-        const std::string_view bytes{read_buffer.data(), read_buffer.size() - parser.get().body().size};
+        const std::string_view bytes{read_buffer.data(), read_buffer.size() - parser->get().body().size};
         if (bytes.empty()) {
             continue;
         }
@@ -177,7 +215,7 @@
             co_return std::nullopt;
         }
     }
-    if (!parser.get().keep_alive()) {
+    if (!parser->get().keep_alive()) {
         close();
     }
     co_return response;
--- a/modules/transport/include/lovageledge/transport/http_connection.hpp
+++ b/modules/transport/include/lovageledge/transport/http_connection.hpp
@@ -89,6 +89,16 @@
     http::request<http::string_body> make_request(http_request request) const;
     asio::awaitable<bool> send(http_request request, duration timeout, error& why, bool& may_have_sent);
     void close_with_error(const char* step, const boost::system::error_code& code, error& why);
+    /** Reads until the parser has made progress. @returns how that has failed, at the latest at the deadline
+     */
+    template <typename Body>
+    asio::awaitable<boost::system::error_code> read_some(http::response_parser<Body>& parser,
+                                                         time_point deadline);
+    /** Reads the head of a response behind its interim ones.
+        @returns false and sets why on failure, which closes the connection */
+    template <typename Body>
+    asio::awaitable<bool> read_head(std::optional<http::response_parser<Body>>& parser, time_point deadline,
+                                    error& why);
 
     /** Largest head, chunk size line or trailers of a response. */
     static constexpr std::size_t max_buffer_bytes = std::size_t{64} * 1024;
