A stream that waits in the socket is not given up by its time limit

Change: each read of the body has a read_limit, as in exchange(). Conclusion: all reads of responses share one kind of limit now.

--- a/modules/transport/http_connection.cpp
+++ b/modules/transport/http_connection.cpp
@@ -192,13 +192,8 @@
     while (!parser->is_done()) {
         parser->get().body().data = read_buffer.data();
         parser->get().body().size = read_buffer.size();
-        stream_.expires_after(next_timeout());
-        boost::system::error_code code;
-        co_await http::async_read_some(stream_, buffer_, *parser,
-                                       asio::redirect_error(asio::use_awaitable, code));
-        if (code == http::error::need_buffer) {
-            code = {};
-        }
+        const time_point deadline = std::chrono::steady_clock::now() + next_timeout();
+        const boost::system::error_code code = co_await read_some(*parser, deadline);
         if (code) {
             close_with_error("http.read", code, why);
             co_return std::nullopt;
