Bytes behind a response are not taken for the response to the next request

Callers saw: on a kept connection a second response was taken for the one to the next request to the store, an engine or a server that gets orders; and a connection that had ended with a body counted as open, so that the next order on it got no answer. Cause: what was read with the response stayed in the buffer, and is_reusable() asks the socket only; whether the connection is kept was asked of the message's headers, not of the parser, which knows that the body ended with the connection. Change: after a response with bytes behind it, or one that ended with its connection, the connection is closed. Conclusion: a second response that arrives later is found by is_reusable(), which engine_client does not ask for its order connection: open.

--- a/modules/transport/http_connection.cpp
+++ b/modules/transport/http_connection.cpp
@@ -144,6 +144,14 @@
     co_return false;
 }
 
+template <typename Body>
+void http_connection::finish(const http::response_parser<Body>& parser) {
+    // Bytes behind the response would be taken for the next one.
+    if (!parser.keep_alive() || buffer_.size() > 0) {
+        close();
+    }
+}
+
 asio::awaitable<std::optional<http_response>>
 http_connection::exchange(http_request request, duration timeout, error& why, bool& may_have_sent) {
     const time_point deadline = std::chrono::steady_clock::now() + timeout;
@@ -166,12 +174,8 @@
         close_with_error("http.read", code, why);
         co_return std::nullopt;
     }
-    const bool is_persistent = parser->get().keep_alive();
-    http_response response{parser->get().result_int(), std::move(parser->get().body())};
-    if (!is_persistent) {
-        close();
-    }
-    co_return response;
+    finish(*parser);
+    co_return http_response{parser->get().result_int(), std::move(parser->get().body())};
 }
 
 asio::awaitable<std::optional<http_response>>
@@ -210,9 +214,7 @@
             co_return std::nullopt;
         }
     }
-    if (!parser->get().keep_alive()) {
-        close();
-    }
+    finish(*parser);
     co_return response;
 }
 
--- a/modules/transport/include/lovageledge/transport/http_connection.hpp
+++ b/modules/transport/include/lovageledge/transport/http_connection.hpp
@@ -99,6 +99,9 @@
     template <typename Body>
     asio::awaitable<bool> read_head(std::optional<http::response_parser<Body>>& parser, time_point deadline,
                                     error& why);
+    /** Closes the connection after a response unless it can take another request. */
+    template <typename Body>
+    void finish(const http::response_parser<Body>& parser);
 
     /** Largest head, chunk size line or trailers of a response. */
     static constexpr std::size_t max_buffer_bytes = std::size_t{64} * 1024;
--- a/tests/gateway/http_connection_test.cpp
+++ b/tests/gateway/http_connection_test.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(heads_that_http_does_not_allow_are_no_response);
     CPPUNIT_TEST(interim_responses_are_skipped);
     CPPUNIT_TEST(interim_responses_without_end_are_no_response);
+    CPPUNIT_TEST(second_response_is_not_taken_for_the_one_to_the_next_request);
+    CPPUNIT_TEST(connection_that_ended_with_a_body_is_closed);
     CPPUNIT_TEST(body_that_is_shorter_than_announced_is_no_response);
     CPPUNIT_TEST(responses_without_content_end_with_their_head);
     CPPUNIT_TEST_SUITE_END();
@@ -127,6 +129,33 @@
         }
     }
 
+    // A second response was answered to the next request: it had been read with the first one.
+    void second_response_is_not_taken_for_the_one_to_the_next_request() {
+        for (const mode how : modes) {
+            const scripted_server server{[](blocking_connection& connection, int number) {
+                const std::string digit = std::to_string(number);
+                while (!connection.read_message().empty()) {
+                    connection.write("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + digit + ok);
+                }
+            }};
+            CPPUNIT_ASSERT_EQUAL(std::string{"1"}, request(server, how)->body);
+            CPPUNIT_ASSERT_EQUAL(std::string{"2"}, request(server, how)->body);
+        }
+    }
+
+    // The connection counted as open, so that the next order was sent on it and failed.
+    void connection_that_ended_with_a_body_is_closed() {
+        for (const mode how : modes) {
+            const scripted_server server{[](blocking_connection& connection, int) {
+                connection.read_message();
+                connection.write("HTTP/1.1 200 OK\r\n\r\nok");
+                connection.close();
+            }};
+            CPPUNIT_ASSERT_EQUAL(std::string{"ok"}, request(server, how)->body);
+            CPPUNIT_ASSERT(!connection_.is_open());
+        }
+    }
+
     void body_that_is_shorter_than_announced_is_no_response() {
         for (const char* part :
              {"Content-Length: 10\r\n\r\npart", "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"}) {
