A body that ends with its connection is complete for a client connection only if the request was taken

Callers saw: a caller of a plain service behind ledged could get a part of a body as the whole answer. Change: exchange() and exchange_stream() wait until the peer has acknowledged the request. The wait of forwarding_connection moves to wait_until_acknowledged(), which both use. Conclusion: requests of the gateway to the store and to servers are small, so that this concerns plain services.

--- a/modules/transport/forwarding_connection.cpp
+++ b/modules/transport/forwarding_connection.cpp
@@ -3,7 +3,6 @@
 #include "lovageledge/transport/response_check.hpp"
 #include "lovageledge/transport/socket_output.hpp"
 
-#include <algorithm>
 #include <charconv>
 #include <limits>
 #include <netinet/tcp.h>
@@ -21,9 +20,6 @@
 constexpr int keep_alive_idle_s = 1;
 constexpr int keep_alive_interval_s = 1;
 constexpr int max_keep_alive_probes = 2;
-/** Intervals at which the kernel is asked whether the server has taken the request. */
-constexpr auto first_taken_check = std::chrono::milliseconds{1};
-constexpr auto longest_taken_check = std::chrono::milliseconds{20};
 
 template <int Level, int Name>
 using int_option = asio::detail::socket_option::integer<Level, Name>;
@@ -227,27 +223,18 @@
 }
 
 asio::awaitable<bool> forwarding_connection::wait_until_request_taken(time_point deadline, error& why) {
-    asio::steady_timer timer{stream_.get_executor()};
-    duration pause = first_taken_check;
-    while (true) {
-        const boost::system::error_code failure =
-            write_failure_ ? write_failure_ : take_failure(stream_.socket());
-        if (failure || is_aborted_) {
-            abort_with_error("http.write", failure ? failure : asio::error::operation_aborted, why);
-            co_return false;
-        }
-        if (!is_writing_ && unsent_bytes(stream_.socket()) == 0) {
-            co_return true;
-        }
-        if (has_passed(deadline)) {
-            abort_at_deadline(why);
-            co_return false;
-        }
-        timer.expires_after(std::min<duration>(pause, deadline - std::chrono::steady_clock::now()));
-        boost::system::error_code ignored;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        pause = std::min<duration>(pause * 2, longest_taken_check);
+    const auto failure = co_await wait_until_acknowledged(stream_.socket(), deadline, [this] {
+        return is_writing_ ? std::nullopt : std::optional{write_failure_};
+    });
+    if (failure == beast::error::timeout) {
+        abort_at_deadline(why);
+        co_return false;
+    }
+    if (failure || is_aborted_) {
+        abort_with_error("http.write", failure ? failure : asio::error::operation_aborted, why);
+        co_return false;
     }
+    co_return true;
 }
 
 bool forwarding_connection::keeps_alive() const {
--- a/modules/transport/http_connection.cpp
+++ b/modules/transport/http_connection.cpp
@@ -1,6 +1,7 @@
 #include "lovageledge/transport/http_connection.hpp"
 
 #include "lovageledge/transport/response_check.hpp"
+#include "lovageledge/transport/socket_output.hpp"
 
 #include <array>
 #include <charconv>
@@ -145,11 +146,21 @@
 }
 
 template <typename Body>
-void http_connection::finish(const http::response_parser<Body>& parser) {
+asio::awaitable<bool> http_connection::finish(const http::response_parser<Body>& parser, time_point deadline,
+                                              error& why) {
+    if (parser.need_eof()) {
+        const auto code = co_await wait_until_acknowledged(
+            stream_.socket(), deadline, [] { return std::optional{boost::system::error_code{}}; });
+        if (code) {
+            close_with_error("http.write", code, why);
+            co_return false;
+        }
+    }
     // Bytes behind the response would be taken for the next one.
     if (!parser.keep_alive() || buffer_.size() > 0) {
         close();
     }
+    co_return true;
 }
 
 asio::awaitable<std::optional<http_response>>
@@ -174,7 +185,10 @@
         close_with_error("http.read", code, why);
         co_return std::nullopt;
     }
-    finish(*parser);
+    const bool is_whole = co_await finish(*parser, deadline, why);
+    if (!is_whole) {
+        co_return std::nullopt;
+    }
     co_return http_response{parser->get().result_int(), std::move(parser->get().body())};
 }
 
@@ -214,8 +228,9 @@
             co_return std::nullopt;
         }
     }
-    finish(*parser);
-    co_return response;
+    const time_point deadline = std::chrono::steady_clock::now() + next_timeout();
+    const bool is_whole = co_await finish(*parser, deadline, why);
+    co_return is_whole ? std::optional{std::move(response)} : std::nullopt;
 }
 
 } // namespace lovageledge
--- a/modules/transport/include/lovageledge/transport/http_connection.hpp
+++ b/modules/transport/include/lovageledge/transport/http_connection.hpp
@@ -99,9 +99,11 @@
     template <typename Body>
     asio::awaitable<bool> read_head(std::optional<http::response_parser<Body>>& parser, time_point deadline,
                                     error& why);
-    /** Closes the connection after a response unless it can take another request. */
+    /** Closes the connection after a response unless it can take another request. A body that ends with its
+        connection is complete once the peer has taken the whole request too.
+        @returns false and sets why if the response may have been cut */
     template <typename Body>
-    void finish(const http::response_parser<Body>& parser);
+    asio::awaitable<bool> finish(const http::response_parser<Body>& parser, time_point deadline, error& why);
 
     /** Largest head, chunk size line or trailers of a response. */
     static constexpr std::size_t max_buffer_bytes = std::size_t{64} * 1024;
--- a/tests/gateway/http_connection_test.cpp
+++ b/tests/gateway/http_connection_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(interim_responses_without_end_are_no_response);
     CPPUNIT_TEST(second_response_is_not_taken_for_the_one_to_the_next_request);
     CPPUNIT_TEST(connection_that_ended_with_a_body_is_closed);
+    CPPUNIT_TEST(part_of_a_body_is_no_response_if_the_request_was_not_taken);
     CPPUNIT_TEST(body_that_is_shorter_than_announced_is_no_response);
     CPPUNIT_TEST(responses_without_content_end_with_their_head);
     CPPUNIT_TEST_SUITE_END();
@@ -156,6 +157,22 @@
         }
     }
 
+    // A part of a body was taken for a whole one, before the server's reset arrived.
+    void part_of_a_body_is_no_response_if_the_request_was_not_taken() {
+        for (const mode how : modes) {
+            const scripted_server server{[](blocking_connection& connection, int) {
+                connection.write("HTTP/1.1 200 OK\r\n\r\npart");
+                connection.end_sending();
+                std::this_thread::sleep_for(milliseconds{100});
+                connection.reset();
+            }};
+            http_request upload;
+            upload.method = http::verb::post;
+            upload.body = std::string(upload_bytes, 'u');
+            CPPUNIT_ASSERT(!request(server, how, std::move(upload)));
+        }
+    }
+
     void body_that_is_shorter_than_announced_is_no_response() {
         for (const char* part :
              {"Content-Length: 10\r\n\r\npart", "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"}) {
