A response to a HEAD request ends with its head

Callers saw: 504 at the deadline for each HEAD whose response announces a length; the request then counted as one that may have crashed its server (event 600 fingerprint_suspected), which after three servers refuses it. Plain services behind ledged: unknown at the deadline. Cause: the parser was not told that the response to a HEAD has no body, and waited for the bytes that its length announces. Change: both connections tell the parser; on routes for streams such a response is passed on as a whole one. Conclusion: the caller is told a length of 0, not the server's, and the gateway's own refusals of a HEAD carry a body: http_server, open.

--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -574,7 +574,8 @@
         co_return has_stream_started_ ? attempt_outcome::stream_interrupted : attempt_outcome::unknown;
     }
     attempt_outcome result = attempt_outcome::finished;
-    if (route_->kind == request_kind::stream && is_success && head->may_have_body()) {
+    const bool may_have_body = head->may_have_body() && exchange_.request().method() != http::verb::head;
+    if (route_->kind == request_kind::stream && is_success && may_have_body) {
         end_failures(listing.name);
         result = co_await forward_stream(connection, listing, *head);
     } else {
--- a/modules/transport/forwarding_connection.cpp
+++ b/modules/transport/forwarding_connection.cpp
@@ -161,6 +161,7 @@
     parser_.emplace();
     parser_->header_limit(max_head_bytes);
     parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+    parser_->skip(request_head_.starts_with("HEAD "));
     limit_.start(deadline);
     boost::system::error_code code;
     co_await http::async_read_header(stream_, buffer_, *parser_,
--- a/modules/transport/http_connection.cpp
+++ b/modules/transport/http_connection.cpp
@@ -118,11 +118,12 @@
 
 template <typename Body>
 asio::awaitable<bool> http_connection::read_head(std::optional<http::response_parser<Body>>& parser,
-                                                 time_point deadline, error& why) {
+                                                 http::verb method, time_point deadline, error& why) {
     stream_.expires_never();
     for (int skipped = 0; skipped <= max_interim_responses; ++skipped) {
         parser.emplace();
         parser->body_limit(max_body_bytes_);
+        parser->skip(method == http::verb::head);
         boost::system::error_code code;
         while (!code && !parser->is_header_done()) {
             code = co_await read_some(*parser, deadline);
@@ -166,11 +167,12 @@
 asio::awaitable<std::optional<http_response>>
 http_connection::exchange(http_request request, duration timeout, error& why, bool& may_have_sent) {
     const time_point deadline = std::chrono::steady_clock::now() + timeout;
+    const http::verb method = request.method;
     if (!co_await send(std::move(request), timeout, why, may_have_sent)) {
         co_return std::nullopt;
     }
     std::optional<http::response_parser<http::string_body>> parser;
-    if (!co_await read_head(parser, deadline, why)) {
+    if (!co_await read_head(parser, method, deadline, why)) {
         co_return std::nullopt;
     }
     parser->eager(true);
@@ -198,11 +200,12 @@
                                  std::function<duration()> next_timeout, error& why, bool& may_have_sent) {
     const duration head_timeout = next_timeout();
     const time_point head_deadline = std::chrono::steady_clock::now() + head_timeout;
+    const http::verb method = request.method;
     if (!co_await send(std::move(request), head_timeout, why, may_have_sent)) {
         co_return std::nullopt;
     }
     std::optional<http::response_parser<http::buffer_body>> parser;
-    if (!co_await read_head(parser, head_deadline, why)) {
+    if (!co_await read_head(parser, method, head_deadline, why)) {
         co_return std::nullopt;
     }
     http_response response{parser->get().result_int(), ""};
--- a/modules/transport/include/lovageledge/transport/http_connection.hpp
+++ b/modules/transport/include/lovageledge/transport/http_connection.hpp
@@ -94,11 +94,11 @@
     template <typename Body>
     asio::awaitable<boost::system::error_code> read_some(http::response_parser<Body>& parser,
                                                          time_point deadline);
-    /** Reads the head of a response behind its interim ones.
+    /** Reads the head of the response to a request with this method, behind its interim ones.
         @returns false and sets why on failure, which closes the connection */
     template <typename Body>
-    asio::awaitable<bool> read_head(std::optional<http::response_parser<Body>>& parser, time_point deadline,
-                                    error& why);
+    asio::awaitable<bool> read_head(std::optional<http::response_parser<Body>>& parser, http::verb method,
+                                    time_point deadline, error& why);
     /** Closes the connection after a response unless it can take another request. A body that ends with its
         connection is complete once the peer has taken the whole request too.
         @returns false and sets why if the response may have been cut */
--- a/tests/gateway/http_connection_test.cpp
+++ b/tests/gateway/http_connection_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(connection_that_ended_with_a_body_is_closed);
     CPPUNIT_TEST(part_of_a_body_is_no_response_if_the_request_was_not_taken);
     CPPUNIT_TEST(body_that_is_shorter_than_announced_is_no_response);
+    CPPUNIT_TEST(response_to_a_head_request_has_no_body);
     CPPUNIT_TEST(responses_without_content_end_with_their_head);
     CPPUNIT_TEST_SUITE_END();
 
@@ -187,6 +188,19 @@
         }
     }
 
+    // The body that the length of a HEAD's response announces was waited for.
+    void response_to_a_head_request_has_no_body() {
+        const scripted_server server{answer_with("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n")};
+        for (const mode how : modes) {
+            http_request message;
+            message.method = http::verb::head;
+            const auto response = request(server, how, std::move(message));
+            CPPUNIT_ASSERT_MESSAGE(why_.text(), response.has_value());
+            CPPUNIT_ASSERT_EQUAL(200U, response->status);
+        }
+        CPPUNIT_ASSERT_EQUAL(1, server.connections());
+    }
+
     void responses_without_content_end_with_their_head() {
         for (const char* head : {"204 No Content\r\n", "304 Not Modified\r\nContent-Length: 10\r\n",
                                  "205 Reset Content\r\nContent-Length: 0\r\n"}) {
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -100,6 +100,7 @@
     CPPUNIT_TEST(status_that_http_does_not_have_is_not_passed_on);
     CPPUNIT_TEST(response_without_content_is_no_cut_stream);
     CPPUNIT_TEST(server_whose_responses_are_cut_has_failed);
+    CPPUNIT_TEST(response_to_a_head_request_has_no_body);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* plain_path = "/plain/";
@@ -118,7 +119,8 @@
 
         explicit gateway_under_test(gateway_settings settings)
             : state{std::move(settings), platform::make_wire_codec(), platform_port{}},
-              callers{context, http_limits{}, [this](http_exchange& exchange) { return serve(exchange); }} {
+              callers{context, std::move(limits),
+                      [this](http_exchange& exchange) { return serve(exchange); }} {
             error why;
             CPPUNIT_ASSERT(callers.listen("127.0.0.1:0", why));
         }
@@ -326,6 +328,30 @@
                              gateway_->state.directory.find(server_name{"server-1"})->consecutive_failures);
     }
 
+    // The body that the length announces was waited for until the deadline, and the server then blamed.
+    void response_to_a_head_request_has_no_body() {
+        const scripted_server server{[&](blocking_connection& connection, int) {
+            std::string id;
+            while (!(id = connection.read_message()).empty()) {
+                connection.write("HTTP/1.1 200 OK\r\n" + run_headers(id_of(id)) +
+                                 "Content-Length: 10\r\n\r\n");
+            }
+        }};
+        start({&server});
+        for (const char* path : {plain_path, stream_path, once_path}) {
+            blocking_connection caller = connect_to(caller_context_, gateway_->callers.port());
+            std::string message = make_request(path, "1", 800, false);
+            caller.write(message.replace(0, std::string{"POST"}.size(), "HEAD"));
+            const std::string answer = caller.read_all();
+            CPPUNIT_ASSERT_MESSAGE(answer, has_status(answer, 200));
+            CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with("\r\n\r\n"));
+        }
+        CPPUNIT_ASSERT_EQUAL(1, server.connections());
+        gateway_->stop();
+        CPPUNIT_ASSERT_EQUAL(0U,
+                             gateway_->state.directory.find(server_name{"server-1"})->consecutive_failures);
+    }
+
     void response_whose_head_ends_early_is_no_success() {
         const std::string buffered = response("200 OK", run_headers("1"), "whole");
         const std::string streamed = stream_head("1");
