The time that a caller takes for its events is not its server's silence

Callers saw: a stream broken off, or resumed on another server, after the caller had not read for 2.5 s; its server counted as failed and its request as one that may have crashed it. Change: the silence counts from the end of the write.

--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -834,6 +834,7 @@
                 is_caller_gone_ = true;
                 caller_input_ = socket_input::failed;
             }
+            last_progress = state_.now(); // The caller's time to take the events is not the server's silence.
         }
         if (is_caller_gone_) {
             connection->abort();
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -100,6 +100,7 @@
     CPPUNIT_TEST(status_that_http_does_not_have_is_not_passed_on);
     CPPUNIT_TEST(response_without_content_is_no_cut_stream);
     CPPUNIT_TEST(server_whose_responses_are_cut_has_failed);
+    CPPUNIT_TEST(server_is_not_silent_while_the_caller_takes_its_events);
     CPPUNIT_TEST(response_to_a_head_request_has_no_body);
     CPPUNIT_TEST_SUITE_END();
 
@@ -117,7 +118,7 @@
         http_server callers;
         std::thread thread;
 
-        explicit gateway_under_test(gateway_settings settings)
+        explicit gateway_under_test(gateway_settings settings, http_limits limits)
             : state{std::move(settings), platform::make_wire_codec(), platform_port{}},
               callers{context, std::move(limits),
                       [this](http_exchange& exchange) { return serve(exchange); }} {
@@ -197,8 +198,9 @@
     std::unique_ptr<gateway_under_test> gateway_;
 
     void start(const std::vector<const scripted_server*>& servers,
-               const gateway_settings& given_settings = settings(), std::uint32_t engine_slots = 0) {
-        gateway_ = std::make_unique<gateway_under_test>(given_settings);
+               const gateway_settings& given_settings = settings(), std::uint32_t engine_slots = 0,
+               const http_limits& limits = {}) {
+        gateway_ = std::make_unique<gateway_under_test>(given_settings, limits);
         gateway_->configure(engine_slots);
         for (std::size_t i = 0; i < servers.size(); ++i) {
             gateway_->add_server(*servers[i], "server-" + std::to_string(i + 1));
@@ -328,6 +330,37 @@
                              gateway_->state.directory.find(server_name{"server-1"})->consecutive_failures);
     }
 
+    // A server was taken for silent, and its stream broken off, after a caller had not read for a while.
+    void server_is_not_silent_while_the_caller_takes_its_events() {
+        constexpr int events = 4;
+        const auto long_event = [](int id) {
+            return fmt::format("id: {}\ndata: {}\n\n", id, std::string(std::size_t{200} * 1024, 'e'));
+        };
+        const scripted_server server{[&](blocking_connection& connection, int) {
+            connection.read_message();
+            connection.write(stream_head("1"));
+            for (int id = 1; id <= events; ++id) {
+                connection.write(chunk(long_event(id)));
+            }
+            // Computes the last event once the former ones are taken.
+            std::this_thread::sleep_for(milliseconds{300});
+            connection.write(chunk(event(events + 1)) + stream_end);
+            connection.read_message();
+        }};
+        http_limits limits;
+        limits.socket_buffer_bytes = std::uint32_t{16} * 1024;
+        start({&server, &server}, settings(), 0, limits);
+        blocking_connection caller = connect_to(caller_context_, gateway_->callers.port());
+        caller.write(make_request(stream_path, "1", 8000, false));
+        std::this_thread::sleep_for(milliseconds{2800});
+        const std::string answer = caller.read_all();
+        CPPUNIT_ASSERT(answer.ends_with(stream_end));
+        CPPUNIT_ASSERT_EQUAL(1, server.connections());
+        gateway_->stop();
+        CPPUNIT_ASSERT_EQUAL(0U,
+                             gateway_->state.directory.find(server_name{"server-1"})->consecutive_failures);
+    }
+
     // The body that the length announces was waited for until the deadline, and the server then blamed.
     void response_to_a_head_request_has_no_body() {
         const scripted_server server{[&](blocking_connection& connection, int) {
