--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -578,7 +578,8 @@
         co_return has_stream_started_ ? attempt_outcome::stream_interrupted : attempt_outcome::unknown;
     }
     attempt_outcome result = attempt_outcome::finished;
-    if (route_->kind == request_kind::stream && is_success && head->may_have_body()) {
+    const bool may_have_body = head->may_have_body() && exchange_.request().method() != http::verb::head;
+    if (route_->kind == request_kind::stream && is_success && may_have_body) {
         end_failures(listing.name);
         result = co_await forward_stream(connection, listing, *head);
     } else {
@@ -842,6 +843,7 @@
                 is_caller_gone_ = true;
                 caller_input_ = socket_input::failed;
             }
+            last_progress = state_.now(); // The caller's time to take the events is not the server's silence.
         }
         if (is_caller_gone_) {
             connection->abort();
--- a/modules/transport/forwarding_connection.cpp
+++ b/modules/transport/forwarding_connection.cpp
@@ -1,8 +1,8 @@
 #include "lovageledge/transport/forwarding_connection.hpp"
 
+#include "lovageledge/transport/response_check.hpp"
 #include "lovageledge/transport/socket_output.hpp"
 
-#include <algorithm>
 #include <charconv>
 #include <limits>
 #include <netinet/tcp.h>
@@ -20,11 +20,6 @@
 constexpr int keep_alive_idle_s = 1;
 constexpr int keep_alive_interval_s = 1;
 constexpr int max_keep_alive_probes = 2;
-/** Intervals at which the kernel is asked whether the server has taken the request. */
-constexpr auto first_taken_check = std::chrono::milliseconds{1};
-constexpr auto longest_taken_check = std::chrono::milliseconds{20};
-constexpr unsigned min_status = 100;
-constexpr unsigned max_status = 599;
 
 template <int Level, int Name>
 using int_option = asio::detail::socket_option::integer<Level, Name>;
@@ -43,21 +38,6 @@
     socket.set_option(int_option<IPPROTO_TCP, TCP_USER_TIMEOUT>{tcp_user_timeout_ms}, ignored);
 }
 
-/** @returns what HTTP does not allow in a head that could be parsed, or nullptr */
-const char* find_malformed(const http::response_header<>& head) {
-    const unsigned status = head.result_int();
-    if (status < min_status || status > max_status) {
-        return "a status that HTTP does not have";
-    }
-    if (head.result() == http::status::switching_protocols) {
-        return "a change of the protocol that was not asked for";
-    }
-    const auto codings = head.count(http::field::transfer_encoding);
-    const bool is_plain_or_chunked =
-        codings == 0 || (codings == 1 && beast::iequals(head[http::field::transfer_encoding], "chunked"));
-    return is_plain_or_chunked ? nullptr : "a transfer coding that was not asked for";
-}
-
 } // namespace
 
 std::optional<std::string_view> response_head::header(std::string_view name) const {
@@ -181,6 +161,7 @@
     parser_.emplace();
     parser_->header_limit(max_head_bytes);
     parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+    parser_->skip(request_head_.starts_with("HEAD "));
     limit_.start(deadline);
     boost::system::error_code code;
     co_await http::async_read_header(stream_, buffer_, *parser_,
@@ -243,27 +224,14 @@
 }
 
 asio::awaitable<bool> forwarding_connection::wait_until_request_taken(time_point deadline, error& why) {
-    asio::steady_timer timer{stream_.get_executor()};
-    duration pause = first_taken_check;
-    while (true) {
-        const boost::system::error_code failure =
-            write_failure_ ? write_failure_ : take_failure(stream_.socket());
-        if (failure || is_aborted_) {
-            abort_with_error("http.write", failure ? failure : asio::error::operation_aborted, why);
-            co_return false;
-        }
-        if (!is_writing_ && unsent_bytes(stream_.socket()) == 0) {
-            co_return true;
-        }
-        if (has_passed(deadline)) {
-            abort_at_deadline(why);
-            co_return false;
-        }
-        timer.expires_after(std::min<duration>(pause, deadline - std::chrono::steady_clock::now()));
-        boost::system::error_code ignored;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        pause = std::min<duration>(pause * 2, longest_taken_check);
+    const auto failure = co_await wait_until_acknowledged(stream_.socket(), deadline, [this] {
+        return is_writing_ ? std::nullopt : std::optional{write_failure_};
+    });
+    if (failure || is_aborted_) {
+        abort_with_error("http.write", failure ? failure : asio::error::operation_aborted, why);
+        co_return false;
     }
+    co_return true;
 }
 
 bool forwarding_connection::keeps_alive() const {
--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -175,10 +175,13 @@
 
 asio::awaitable<bool> http_exchange::write_response(http::response<http::string_body> response) {
     response.keep_alive(request_->keep_alive());
-    const bool may_have_length =
-        response.result() != http::status::no_content && response.result() != http::status::not_modified;
-    if (may_have_length) {
+    const bool may_have_body = request_->method() != http::verb::head &&
+                               response.result() != http::status::no_content &&
+                               response.result() != http::status::not_modified;
+    if (may_have_body) {
         response.prepare_payload();
+    } else {
+        response.body().clear();
     }
     begin_write(response.body().size());
     boost::system::error_code code;
