State that the threads of an HTTP server share is guarded

What callers saw: nothing that was seen. `ledged` runs its servers on two threads; by reading, a connection that gave way could be reported with the wrong cause, and the limit on discarded input be passed. Cause: the number of callers whose input is discarded, the cause of a drop and one read of the register's size were plain fields, used on several strands. The limit was checked before the refusal was sent and counted after it. Change: `occupancy` counts with a limit in one step and lives as long as the refusal; a connection's cause is one atomic that also says whether it was dropped; drops are counted instead of the size compared. The race on the cause was not seen, by reading only. Open: http_server_test reads memory_budget::held() from its own thread beside the server's, which the sanitizer reports before and after; a fault of the test.

--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -22,9 +22,6 @@
 constexpr std::size_t framing_bytes = std::size_t{16} * 1024;
 /** Pause after a failed accept. The usual cause, that no descriptors are left, lasts for a while. */
 constexpr auto accept_failure_pause = std::chrono::milliseconds{50};
-/** Most refused callers whose input is discarded at a time; others are reset. Bounds what is not accounted.
- */
-constexpr std::uint32_t max_discarding = 8;
 /** First size of a connection's input buffer. It holds the requests of most callers, and an idle connection
     keeps no more. */
 constexpr std::size_t idle_buffer_bytes = std::size_t{4} * 1024;
@@ -509,8 +506,8 @@
 }
 
 void http_server::connection::mark_dropped(const char* cause) {
-    is_dropped_ = true;
     drop_cause_ = cause;
+    ++open_->dropped;
     open_->policy.close(id_);
     if (limits_.on_closed) {
         limits_.on_closed(cause);
@@ -529,7 +526,7 @@
 void http_server::connection::drop(const char* cause) {
     {
         const std::scoped_lock lock{open_->mutex};
-        if (is_dropped_) {
+        if (is_dropped()) {
             return;
         }
         mark_dropped(cause);
@@ -542,7 +539,7 @@
         return false;
     }
     const std::scoped_lock lock{open_->mutex};
-    is_dropped_ = false;
+    drop_cause_ = nullptr;
     open_->policy.open(id_, address_, steady_now());
     return true;
 }
@@ -712,11 +709,11 @@
     std::size_t lines = count_lines(caller.buffer().data());
     while (!code && !parser.is_done()) {
         // Memory is accounted before it is spent: a parsed head takes up to 20 times its bytes.
-        const std::size_t open_before = open_->policy.size();
+        const std::uint64_t dropped_before = open_->dropped;
         if (!caller.hold(request_bytes(parser, caller.buffer(), lines))) {
             co_return asio::error::no_memory;
         }
-        if (open_->policy.size() < open_before) {
+        if (open_->dropped != dropped_before) {
             // What was given up is freed in the handlers that are queued now.
             co_await asio::post(caller.stream().get_executor(), asio::use_awaitable);
             if (caller.is_dropped()) {
@@ -752,12 +749,9 @@
     co_return code;
 }
 
-bool http_server::may_refuse(connection& caller) const {
-    return discarding_ < max_discarding && caller.stream().socket().is_open();
-}
-
 asio::awaitable<void> http_server::refuse_unread(connection& caller, boost::system::error_code code,
-                                                 bool has_no_room) {
+                                                 bool has_no_room,
+                                                 [[maybe_unused]] occupancy::seat discarding) {
     const bool is_head_too_large = code == http::error::header_limit;
     const unsigned status = has_no_room                       ? 503
                             : is_head_too_large               ? 431
@@ -774,9 +768,7 @@
         headers.push_back({"Retry-After", retry_after_no_memory});
     }
     co_await exchange.respond(status, body.dump(), "application/json", std::move(headers));
-    ++discarding_;
     co_await discard_input(caller.stream());
-    --discarding_;
 }
 
 asio::awaitable<bool> http_server::serve_request(connection& caller) {
@@ -798,9 +790,11 @@
         }
     }
     const bool has_begun = !caller.is_dropped() || caller.revive();
-    if (!has_begun && caller.memory().is_cut() && may_refuse(caller)) {
-        co_await refuse_unread(caller, {}, true);
-        co_return false;
+    if (!has_begun && caller.memory().is_cut() && caller.stream().socket().is_open()) {
+        if (occupancy::seat discarding = discarding_.try_enter()) {
+            co_await refuse_unread(caller, {}, true, std::move(discarding));
+            co_return false;
+        }
     }
     if (!has_begun || (!caller.has_taken_responses() && !co_await wait_until_taken(caller))) {
         caller.report_unanswered(caller.close_cause("reset"));
@@ -822,14 +816,16 @@
     if (code) {
         parser.reset(); // Frees the body while the caller is still sending.
         const bool has_no_room = caller.memory().is_cut();
-        const bool is_refused = has_no_room ? discarding_ < max_discarding : !caller.is_dropped();
-        if (!is_refused) {
+        occupancy::seat discarding = has_no_room            ? discarding_.try_enter()
+                                     : !caller.is_dropped() ? discarding_.enter()
+                                                            : occupancy::seat{};
+        if (!discarding) {
             caller.report_unanswered(caller.close_cause("memory"));
             reset(caller.stream());
             co_return false;
         }
         caller.hold_idle();
-        co_await refuse_unread(caller, code, has_no_room);
+        co_await refuse_unread(caller, code, has_no_room, std::move(discarding));
         co_return false;
     }
     if (caller.is_dropped() && !caller.revive()) {
@@ -839,7 +835,7 @@
     if (!caller.hold(request_bytes(*parser, caller.buffer(), 0) + parsed_head_bytes(*parser) +
                      server_side_bytes)) {
         parser.reset();
-        co_await refuse_unread(caller, {}, true);
+        co_await refuse_unread(caller, {}, true, discarding_.enter());
         co_return false;
     }
     caller.memory().set_complete();
--- a/modules/transport/include/lovageledge/transport/http_server.hpp
+++ b/modules/transport/include/lovageledge/transport/http_server.hpp
@@ -3,6 +3,7 @@
 #include "lovageledge/transport/caller_connections.hpp"
 #include "lovageledge/transport/http_connection.hpp"
 #include "lovageledge/transport/limited_reader.hpp"
+#include "lovageledge/transport/occupancy.hpp"
 #include "lovageledge/transport/socket_input.hpp"
 #include "lovageledge/transport/unanswered_request.hpp"
 
@@ -194,6 +195,8 @@
        with its context. */
     struct connection_register {
         std::atomic<std::uint32_t> count{0};
+        /** Number of times that a connection was given up for the sake of others. */
+        std::atomic<std::uint64_t> dropped{0};
         std::mutex mutex;
         std::map<std::uint64_t, connection*> connections;
         std::map<const memory_share*, std::uint64_t> shares;
@@ -227,7 +230,10 @@
          */
         void report_unanswered(const char* cause);
         /** @returns why the connection is closed, for report_unanswered() */
-        const char* close_cause(const char* otherwise) const { return is_dropped_ ? drop_cause_ : otherwise; }
+        const char* close_cause(const char* otherwise) const {
+            const char* cause = drop_cause_;
+            return cause == nullptr ? otherwise : cause;
+        }
 
         void set_stage(connection_stage stage);
         /** Accounts for a request that is being received, with its parsed head and its body.
@@ -245,7 +251,7 @@
         void mark_dropped(const char* cause);
         /** The second part of drop(): ends what the connection waits for. */
         void end_waiting();
-        bool is_dropped() const { return is_dropped_; }
+        bool is_dropped() const { return drop_cause_ != nullptr; }
         /** Keeps a connection on which a request arrived just when it was to be closed for another one.
             @returns false if it has to end */
         bool revive();
@@ -269,12 +275,12 @@
         std::uint64_t begun_requests_ = 0;
         /** Bytes of the current request that were read. */
         std::size_t read_bytes_ = 0;
-        const char* drop_cause_ = "";
+        /** nullptr unless the connection is closed for the sake of others. */
+        std::atomic<const char*> drop_cause_{nullptr};
         /** Bytes of responses that the caller may not have taken yet. */
         std::size_t sent_bytes_ = 0;
         bool has_large_receive_buffer_ = false;
         bool has_large_send_buffer_ = false;
-        std::atomic<bool> is_dropped_{false};
         connection_stage stage_ = connection_stage::silent;
     };
 
@@ -289,9 +295,9 @@
     /** Reads more of a request into the connection's buffer. */
     static asio::awaitable<boost::system::error_code>
     read_more(connection& caller, http::request_parser<http::string_body>& parser, time_point limit);
-    /** @returns true if a caller whose memory was given up can still be told */
-    bool may_refuse(connection& caller) const;
-    asio::awaitable<void> refuse_unread(connection& caller, boost::system::error_code code, bool has_no_room);
+    /** Refuses a request that was not fully read. The caller counts as a discarding one meanwhile. */
+    asio::awaitable<void> refuse_unread(connection& caller, boost::system::error_code code, bool has_no_room,
+                                        occupancy::seat discarding);
     static asio::awaitable<void> discard_input(beast::tcp_stream& stream);
     /** Makes place for a new connection. @returns nullptr, or what is short if there is no place, so that the
         new connection is closed */
@@ -306,8 +312,11 @@
     handler on_request_;
     asio::ip::tcp::acceptor acceptor_;
     std::shared_ptr<connection_register> open_ = std::make_shared<connection_register>();
-    /** Number of refused callers whose input is read and discarded, so that they receive the refusal. */
-    std::uint32_t discarding_ = 0;
+    /** Most refused callers whose input is discarded at a time; others are reset. Bounds what is not
+        accounted. */
+    static constexpr std::uint32_t max_discarding = 8;
+    /** Refused callers whose input is read and discarded, so that they receive the refusal. */
+    occupancy discarding_{max_discarding};
     /** Accepted sockets have smaller descriptors while enough are left for files. */
     int descriptor_limit_ = 0;
     /** Set by close_idle_connections(): connections are closed after their current response. */
