A connection gives way only when its response has left, and its place is given once

What callers saw: when connections were short, the kept connection that had waited longest was reset with its response still in the kernel, however young the response was. Cause: which connection gives way was decided by its stage alone, and its place was given to the new one before it was told. Change: the chosen connection is asked on its own strand and with what the kernel holds of it: caller_connections::confirm_leaving(). One whose response is under way stays for 0.5 s and goes after those that have taken theirs. It keeps its place until it is closed; the new connection waits for a place, up to 0.2 s, and takes it in one step with the check of the limit. A request that arrives meanwhile is answered, and the connection closed after it. The choice for lack of memory asks the kernel as well. The existing tests are unchanged. Open: a new connection that is short of descriptors, not of places, is served at once as before. At most 32 new connections wait, with their descriptors, beside the limit.

--- a/modules/transport/caller_connections_test.cpp
+++ b/modules/transport/caller_connections_test.cpp
@@ -18,6 +18,9 @@
     CPPUNIT_TEST(one_address_beyond_its_memory_gives_way);
     CPPUNIT_TEST(single_address_may_take_all);
     CPPUNIT_TEST(closed_connections_leave_nothing);
+    CPPUNIT_TEST(connection_whose_response_is_under_way_stays);
+    CPPUNIT_TEST(connection_that_leaves_keeps_its_place);
+    CPPUNIT_TEST(address_beyond_its_memory_has_places_left);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t memory = 1000;
@@ -116,6 +119,51 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, connections_.size() + connections_.idle());
         CPPUNIT_ASSERT(!connections_.choose_for_memory(std::nullopt, at(1000)));
     }
+
+    void connection_whose_response_is_under_way_stays() {
+        open(1, "a", stage::kept, 0);
+        open(2, "a", stage::kept, 10);
+        CPPUNIT_ASSERT(connections_.choose_for_connection("b", at(20)) == 1);
+        connections_.ask_to_leave(1);
+        CPPUNIT_ASSERT(!connections_.confirm_leaving(1, true, at(20)));
+        CPPUNIT_ASSERT(connections_.is_idle(1));
+        CPPUNIT_ASSERT(connections_.choose_for_connection("b", at(20)) == 2);
+        connections_.ask_to_leave(2);
+        CPPUNIT_ASSERT(!connections_.choose_for_connection("b", at(20)));
+        CPPUNIT_ASSERT(connections_.confirm_leaving(2, false, at(20)));
+        // The other caller does not take its response.
+        CPPUNIT_ASSERT(connections_.choose_for_connection("b", at(600)) == 1);
+        connections_.ask_to_leave(1);
+        CPPUNIT_ASSERT(connections_.confirm_leaving(1, true, at(600)));
+    }
+
+    // The place was given to another connection as well.
+    void connection_that_leaves_keeps_its_place() {
+        for (std::uint64_t id = 1; id <= 8; ++id) {
+            open(id, "a", stage::kept, static_cast<int>(id));
+        }
+        connections_.ask_to_leave(1);
+        CPPUNIT_ASSERT(connections_.is_full_for("a"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{7}, connections_.idle());
+        connections_.set_stage(1, stage::serving, at(20));
+        CPPUNIT_ASSERT(!connections_.confirm_leaving(1, false, at(20)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, connections_.leaving());
+        connections_.ask_to_leave(2);
+        CPPUNIT_ASSERT(connections_.confirm_leaving(2, false, at(20)));
+        CPPUNIT_ASSERT(connections_.is_full_for("a"));
+        connections_.close(2);
+        CPPUNIT_ASSERT(!connections_.is_full_for("a"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, connections_.leaving());
+    }
+
+    // Its connections would give way to a new one of its own without end.
+    void address_beyond_its_memory_has_places_left() {
+        open(1, "a", stage::kept, 0);
+        open(2, "b", stage::kept, 0);
+        connections_.set_held(1, memory);
+        CPPUNIT_ASSERT(connections_.is_full_for("a"));
+        CPPUNIT_ASSERT(!connections_.is_out_of_places_for("a"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(caller_connections_test);
--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -40,6 +40,9 @@
 constexpr std::size_t server_side_bytes = std::size_t{64} * 1024;
 /** Smaller responses on a connection are taken to have left the kernel when the next request arrives. */
 constexpr std::size_t small_response_bytes = std::size_t{4} * 1024;
+/** Time in which others must have given way to a new connection. */
+constexpr auto place_timeout = std::chrono::milliseconds{200};
+constexpr auto longest_place_check = std::chrono::milliseconds{50};
 /** Intervals at which the kernel is asked whether a caller has taken its responses. */
 constexpr auto first_taken_check = std::chrono::milliseconds{1};
 constexpr auto longest_taken_check = std::chrono::milliseconds{100};
@@ -331,9 +334,16 @@
     limits_.memory->set_victim_chooser([open = open_](const memory_share& requesting) -> memory_share* {
         const std::scoped_lock inner_lock{open->mutex};
         const auto found = open->shares.find(&requesting);
-        const auto chosen = open->policy.choose_for_memory(
-            found == open->shares.end() ? std::nullopt : std::optional{found->second}, steady_now());
-        return chosen ? &open->connections.at(*chosen)->memory() : nullptr;
+        const auto own = found == open->shares.end() ? std::nullopt : std::optional{found->second};
+        const time_point now = steady_now();
+        while (const auto chosen = open->policy.choose_for_memory(own, now)) {
+            connection& caller = *open->connections.at(*chosen);
+            open->policy.ask_to_leave(*chosen);
+            if (open->policy.confirm_leaving(*chosen, unsent_bytes(caller.stream().socket()) > 0, now)) {
+                return &caller.memory();
+            }
+        }
+        return static_cast<memory_share*>(nullptr);
     });
 }
 
@@ -389,27 +399,33 @@
     }
 }
 
+http_server::place::~place() {
+    if (open_ != nullptr) {
+        const std::scoped_lock lock{open_->mutex};
+        open_->policy.close(id_);
+    }
+}
+
 http_server::connection::connection(std::shared_ptr<connection_register> open, asio::ip::tcp::socket socket,
-                                    std::string address, const http_limits& limits)
+                                    place own_place, const http_limits& limits)
     : open_{std::move(open)}, limits_{limits}, stream_{std::move(socket)},
       buffer_{limits.header_bytes + framing_bytes}, memory_{limits.memory, memory_use::connection,
                                                             [this] { drop("memory"); }},
       hooks_{[this](std::size_t bytes) { on_sending(bytes); }, [this](bool is_taken) { on_sent(is_taken); },
              [this] { return hold_bytes(memory_.counted() + limits_.socket_buffer_bytes); }},
-      address_{std::move(address)}, opened_at_{steady_now()} {
+      place_{std::move(own_place)}, opened_at_{steady_now()} {
     ++open_->count;
     const std::scoped_lock lock{open_->mutex};
-    id_ = open_->next_id++;
-    open_->connections.emplace(id_, this);
-    open_->shares.emplace(&memory_, id_);
-    open_->policy.open(id_, address_, steady_now());
+    open_->connections.emplace(id(), this);
+    open_->shares.emplace(&memory_, id());
+    open_->policy.set_stage(id(), connection_stage::silent, steady_now());
 }
 
 http_server::connection::~connection() {
     const std::scoped_lock lock{open_->mutex};
-    open_->policy.close(id_);
+    open_->policy.close(id());
     open_->shares.erase(&memory_);
-    open_->connections.erase(id_);
+    open_->connections.erase(id());
     --open_->count;
 }
 
@@ -444,7 +460,7 @@
 void http_server::connection::set_stage(connection_stage stage) {
     stage_ = stage;
     const std::scoped_lock lock{open_->mutex};
-    open_->policy.set_stage(id_, stage, steady_now());
+    open_->policy.set_stage(id(), stage, steady_now());
 }
 
 bool http_server::connection::hold_bytes(std::size_t bytes) {
@@ -452,7 +468,7 @@
         return false;
     }
     const std::scoped_lock lock{open_->mutex};
-    open_->policy.set_held(id_, memory_.counted());
+    open_->policy.set_held(id(), memory_.counted());
     return true;
 }
 
@@ -508,7 +524,7 @@
 void http_server::connection::mark_dropped(const char* cause) {
     drop_cause_ = cause;
     ++open_->dropped;
-    open_->policy.close(id_);
+    open_->policy.leave(id());
     if (limits_.on_closed) {
         limits_.on_closed(cause);
     }
@@ -530,17 +546,27 @@
             return;
         }
         mark_dropped(cause);
+        open_->policy.set_held(id(), 0);
     }
     end_waiting();
 }
 
+void http_server::connection::give_way(const char* cause) {
+    const bool has_unsent = unsent_bytes(stream_.socket()) > 0;
+    if (!is_dropped() && open_->policy.confirm_leaving(id(), has_unsent, steady_now())) {
+        mark_dropped(cause);
+        end_waiting();
+    }
+}
+
 bool http_server::connection::revive() {
     if (memory_.is_cut() || !stream_.socket().is_open()) {
         return false;
     }
     const std::scoped_lock lock{open_->mutex};
     drop_cause_ = nullptr;
-    open_->policy.open(id_, address_, steady_now());
+    is_last_request_ = true;
+    open_->policy.stay(id(), steady_now());
     return true;
 }
 
@@ -550,27 +576,58 @@
     if (!chosen) {
         return false;
     }
-    connection& caller = *open_->connections.at(*chosen);
-    caller.mark_dropped(cause);
-    asio::post(caller.stream().get_executor(), [open = open_, id = *chosen] {
+    open_->policy.ask_to_leave(*chosen);
+    asio::post(open_->connections.at(*chosen)->stream().get_executor(), [open = open_, id = *chosen, cause] {
         const std::scoped_lock inner_lock{open->mutex};
         const auto found = open->connections.find(id);
-        if (found != open->connections.end() && found->second->is_dropped()) {
-            found->second->end_waiting();
+        if (found != open->connections.end()) {
+            found->second->give_way(cause);
         }
     });
     return true;
 }
 
-const char* http_server::make_place(asio::ip::tcp::socket& socket, const std::string& address) {
-    const char* cause = nullptr;
-    if (socket.native_handle() >= descriptor_limit_) {
-        cause = "descriptors";
-    } else {
-        const std::scoped_lock lock{open_->mutex};
-        cause = open_->policy.is_full_for(address) ? "connections" : nullptr;
+std::optional<http_server::place> http_server::take_place(const std::string& address, bool has_made_room) {
+    const std::scoped_lock lock{open_->mutex};
+    const bool is_full =
+        has_made_room ? open_->policy.is_out_of_places_for(address) : open_->policy.is_full_for(address);
+    if (is_full) {
+        return std::nullopt;
+    }
+    const std::uint64_t id = open_->next_id++;
+    open_->policy.open(id, address, steady_now());
+    // It can't be chosen before its connection exists.
+    open_->policy.set_stage(id, connection_stage::serving, steady_now());
+    return place{open_, id};
+}
+
+asio::awaitable<void> http_server::serve_when_there_is_place(asio::ip::tcp::socket socket,
+                                                             std::string address, occupancy::seat waiting) {
+    const time_point deadline = steady_now() + place_timeout;
+    asio::steady_timer timer{socket.get_executor()};
+    duration pause{};
+    bool has_asked = false;
+    std::optional<place> own_place;
+    while (!own_place && !has_passed(deadline)) {
+        if (open_->leaving() < waiting_.count()) {
+            has_asked = drop_one(address, "connections") || has_asked;
+            // Half of the room is for those that others give way to.
+            if (!has_asked && waiting_.count() > max_waiting / 2) {
+                break;
+            }
+        }
+        timer.expires_after(pause);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        pause = std::clamp<duration>(pause * 2, first_taken_check, longest_place_check);
+        own_place = take_place(address, has_asked);
+    }
+    waiting = {};
+    if (!own_place) {
+        report_unaccepted(socket, "connections");
+        co_return;
     }
-    return cause == nullptr || drop_one(address, cause) ? nullptr : cause;
+    co_await serve_connection(std::move(socket), std::move(*own_place));
 }
 
 void http_server::report_unaccepted(asio::ip::tcp::socket& socket, const char* cause) {
@@ -598,19 +655,28 @@
             continue;
         }
         std::string address = peer.address().to_string();
-        if (const char* cause = make_place(socket, address); cause != nullptr) {
-            report_unaccepted(socket, cause);
+        if (socket.native_handle() >= descriptor_limit_ && !drop_one(address, "descriptors")) {
+            report_unaccepted(socket, "descriptors");
             continue;
         }
         socket.set_option(asio::ip::tcp::no_delay{true}, code);
         const auto executor = socket.get_executor();
-        asio::co_spawn(executor, serve_connection(std::move(socket), std::move(address)),
-                       log_exception("http.serve"));
+        if (std::optional<place> own_place = take_place(address, false)) {
+            asio::co_spawn(executor, serve_connection(std::move(socket), std::move(*own_place)),
+                           log_exception("http.serve"));
+        } else if (occupancy::seat waiting = waiting_.try_enter()) {
+            asio::co_spawn(
+                executor,
+                serve_when_there_is_place(std::move(socket), std::move(address), std::move(waiting)),
+                log_exception("http.serve"));
+        } else {
+            report_unaccepted(socket, "connections");
+        }
     }
 }
 
-asio::awaitable<void> http_server::serve_connection(asio::ip::tcp::socket socket, std::string address) {
-    connection caller{open_, std::move(socket), std::move(address), limits_};
+asio::awaitable<void> http_server::serve_connection(asio::ip::tcp::socket socket, place own_place) {
+    connection caller{open_, std::move(socket), std::move(own_place), limits_};
     while (co_await serve_request(caller)) {
     }
     if (caller.is_dropped() || !caller.stream().socket().is_open() || caller.has_taken_responses()) {
@@ -841,7 +907,7 @@
     caller.memory().set_complete();
     caller.set_stage(connection_stage::serving);
     http_exchange exchange{caller.stream(), parser->release(), limits_, &caller.hooks()};
-    if (is_closing_) {
+    if (is_closing_ || caller.is_last_request()) {
         exchange.close_after_response();
     }
     co_await on_request_(exchange);
--- a/modules/transport/include/lovageledge/transport/http_server.hpp
+++ b/modules/transport/include/lovageledge/transport/http_server.hpp
@@ -184,12 +184,13 @@
     std::uint32_t connections() const { return open_->count; }
     /** @returns the number of connections from which a request is being read or answered. Precondition: as
         for set_limits(). */
-    std::size_t busy_connections() const { return open_->count - open_->policy.idle(); }
+    std::size_t busy_connections() const { return open_->count - open_->policy.idle() + waiting_.count(); }
     /** @returns the port that the server listens on */
     std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
 
 private:
     class connection;
+    class place;
 
     /** The open connections by identifier. Shared with them, since those of a server that is destroyed end
        with its context. */
@@ -202,18 +203,46 @@
         std::map<const memory_share*, std::uint64_t> shares;
         caller_connections policy{connection_limits{}};
         std::uint64_t next_id = 0;
+
+        /** @returns the number of connections that are about to be closed */
+        std::size_t leaving() {
+            const std::scoped_lock lock{mutex};
+            return policy.leaving();
+        }
+    };
+
+    /** The place of a connection among those that the limits allow, until it is destroyed. */
+    class place {
+    public:
+        place(std::shared_ptr<connection_register> open, std::uint64_t id)
+            : open_{std::move(open)}, id_{id} {}
+        place(place&& other) noexcept = default;
+        place& operator=(place&& other) noexcept {
+            std::swap(open_, other.open_);
+            std::swap(id_, other.id_);
+            return *this;
+        }
+        place(const place&) = delete;
+        place& operator=(const place&) = delete;
+        ~place();
+
+        std::uint64_t id() const { return id_; }
+
+    private:
+        std::shared_ptr<connection_register> open_;
+        std::uint64_t id_;
     };
 
     /** An open connection, registered from its accept until its end, however it ends. */
     class connection {
     public:
-        connection(std::shared_ptr<connection_register> open, asio::ip::tcp::socket socket,
-                   std::string address, const http_limits& limits);
+        connection(std::shared_ptr<connection_register> open, asio::ip::tcp::socket socket, place own_place,
+                   const http_limits& limits);
         connection(const connection&) = delete;
         connection& operator=(const connection&) = delete;
         ~connection();
 
-        std::uint64_t id() const { return id_; }
+        std::uint64_t id() const { return place_.id(); }
         beast::tcp_stream& stream() { return stream_; }
         /** Received bytes that no request was read from yet. */
         beast::flat_buffer& buffer() { return buffer_; }
@@ -251,10 +280,15 @@
         void mark_dropped(const char* cause);
         /** The second part of drop(): ends what the connection waits for. */
         void end_waiting();
+        /** Closes this connection for the sake of a new one, unless it stays by what the kernel holds of it.
+            Precondition: the register is locked. */
+        void give_way(const char* cause);
         bool is_dropped() const { return drop_cause_ != nullptr; }
-        /** Keeps a connection on which a request arrived just when it was to be closed for another one.
+        /** Keeps a connection for one request that arrived just when it was to be closed for another one.
             @returns false if it has to end */
         bool revive();
+        /** @returns true if the connection ends with its current request */
+        bool is_last_request() const { return is_last_request_; }
 
     private:
         bool hold_bytes(std::size_t bytes);
@@ -268,8 +302,7 @@
         beast::flat_buffer buffer_;
         memory_share memory_;
         response_hooks hooks_;
-        std::string address_;
-        std::uint64_t id_ = 0;
+        place place_;
         limited_reader reader_{stream_.socket()};
         time_point opened_at_;
         std::uint64_t begun_requests_ = 0;
@@ -279,13 +312,20 @@
         std::atomic<const char*> drop_cause_{nullptr};
         /** Bytes of responses that the caller may not have taken yet. */
         std::size_t sent_bytes_ = 0;
+        bool is_last_request_ = false;
         bool has_large_receive_buffer_ = false;
         bool has_large_send_buffer_ = false;
         connection_stage stage_ = connection_stage::silent;
     };
 
     asio::awaitable<void> accept_loop();
-    asio::awaitable<void> serve_connection(asio::ip::tcp::socket socket, std::string address);
+    asio::awaitable<void> serve_connection(asio::ip::tcp::socket socket, place own_place);
+    /** Serves a new connection when others have given way for it. */
+    asio::awaitable<void> serve_when_there_is_place(asio::ip::tcp::socket socket, std::string address,
+                                                    occupancy::seat waiting);
+    /** @returns the place of a new connection from an address; nothing if the limits allow none
+        @param has_made_room true if another one was asked to give way, which frees what memory it holds */
+    std::optional<place> take_place(const std::string& address, bool has_made_room);
     asio::awaitable<bool> serve_request(connection& caller);
     asio::awaitable<bool> wait_for_request(connection& caller);
     /** Waits until the caller has taken the responses to its former requests. @returns false if it did not */
@@ -299,11 +339,9 @@
     asio::awaitable<void> refuse_unread(connection& caller, boost::system::error_code code, bool has_no_room,
                                         occupancy::seat discarding);
     static asio::awaitable<void> discard_input(beast::tcp_stream& stream);
-    /** Makes place for a new connection. @returns nullptr, or what is short if there is no place, so that the
-        new connection is closed */
-    const char* make_place(asio::ip::tcp::socket& socket, const std::string& address);
     void report_unaccepted(asio::ip::tcp::socket& socket, const char* cause);
-    /** Closes the connection that the policy chooses for a new one from an address. @returns false if none */
+    /** Asks the connection that the policy chooses to give way to a new one from an address. @returns false
+        if there is none */
     bool drop_one(const std::string& address, const char* cause);
     void apply_limits();
 
@@ -317,6 +355,9 @@
     static constexpr std::uint32_t max_discarding = 8;
     /** Refused callers whose input is read and discarded, so that they receive the refusal. */
     occupancy discarding_{max_discarding};
+    /** Most new connections that wait for others to give way. */
+    static constexpr std::uint32_t max_waiting = 32;
+    occupancy waiting_{max_waiting};
     /** Accepted sockets have smaller descriptors while enough are left for files. */
     int descriptor_limit_ = 0;
     /** Set by close_idle_connections(): connections are closed after their current response. */
--- a/tests/gateway/connection_places_test.cpp
+++ b/tests/gateway/connection_places_test.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
-#include <filesystem>
 #include <future>
 #include <mutex>
 #include <spdlog/fmt/fmt.h>
@@ -20,6 +19,8 @@
 class connection_places_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(connection_places_test);
     CPPUNIT_TEST(refusals_and_connections_that_give_way_with_several_threads);
+    CPPUNIT_TEST(response_on_its_way_is_not_cut_for_a_new_connection);
+    CPPUNIT_TEST(connections_that_gave_way_with_a_request_do_not_exceed_the_limit);
     CPPUNIT_TEST_SUITE_END();
 
     asio::io_context context_;
@@ -103,6 +104,70 @@
         }
         CPPUNIT_ASSERT(refused > 0);
     }
+
+    // The kept connection that had waited longest was reset with most of its response in the kernel.
+    void response_on_its_way_is_not_cut_for_a_new_connection() {
+        const std::string large(40'000, 'r');
+        http_limits limits;
+        limits.connections = 2;
+        limits.socket_buffer_bytes = std::uint32_t{16} * 1024;
+        start(limits, 1, [&](http_exchange& exchange) -> asio::awaitable<void> {
+            std::string body = exchange.path() == "/large" ? large : "whole";
+            co_await exchange.respond(200, std::move(body));
+        });
+        asio::ip::tcp::socket socket{caller_context_};
+        socket.open(asio::ip::tcp::v4());
+        socket.set_option(asio::socket_base::receive_buffer_size{4096});
+        socket.connect({asio::ip::address_v4::loopback(), server_->port()});
+        blocking_connection slow{std::move(socket)};
+        slow.write("GET /large HTTP/1.1\r\nHost: test\r\n\r\n");
+        std::this_thread::sleep_for(milliseconds{50}); // Until the kernel has all of the response.
+        blocking_connection kept = connect_and_ask_once();
+        blocking_connection other = connect_and_ask_once();
+        const std::string response = slow.read_message();
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{} bytes", response.size()), response.size() > large.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{}, kept.read_all());
+    }
+
+    // Each connection whose request arrived as it gave way was one more than the limit from then on.
+    void connections_that_gave_way_with_a_request_do_not_exceed_the_limit() {
+        constexpr std::uint32_t limit = 4;
+        std::promise<void> chosen;
+        std::promise<void> sent;
+        std::once_flag is_first;
+        std::atomic<std::uint32_t> most{0};
+        http_limits limits;
+        limits.connections = limit;
+        limits.on_closed = [&](const char*) {
+            std::call_once(is_first, [&] {
+                chosen.set_value();
+                sent.get_future().wait();
+            });
+        };
+        start(limits, 1, [&](http_exchange& exchange) -> asio::awaitable<void> {
+            most = std::max<std::uint32_t>(most, server_->connections());
+            co_await exchange.respond(200, "whole");
+        });
+        std::vector<blocking_connection> callers;
+        for (std::uint32_t i = 0; i < limit; ++i) {
+            callers.push_back(connect_and_ask_once());
+        }
+        std::this_thread::sleep_for(milliseconds{50}); // Until all wait for their next request.
+        callers.push_back(connect());
+        chosen.get_future().wait();
+        for (std::uint32_t i = 1; i < limit; ++i) {
+            callers.push_back(connect());
+        }
+        for (blocking_connection& caller : callers) {
+            caller.write(request());
+        }
+        sent.set_value();
+        for (blocking_connection& caller : callers) {
+            assert_status(caller, 200);
+        }
+        CPPUNIT_ASSERT_EQUAL(limit, most.load());
+        CPPUNIT_ASSERT(unanswered_.empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(connection_places_test);
