A new connection without a place is refused, not closed without a word

What callers saw: when no connection could give way, a new one was closed as soon as it was accepted; a caller that had sent its request, or was about to, found a reset. Cause: only a caller with a place could be answered. Change: it gets 503 with Retry-After, Connection: close and "not_run", written to the kernel without waiting and without reading a request. At most 8 such callers are kept until they have sent what they send (16 MiB, 2 s), apart from the 8 whose request was refused for lack of memory, since anyone can cause them; of the others what has arrived is discarded, up to 64 KiB, and the socket closed at once. If descriptors are short, none is kept. Open: a caller that is neither kept nor has sent when it is refused may see a reset after the 503; it can still read the 503.

--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -1,5 +1,6 @@
 #include "lovageledge/transport/http_server.hpp"
 
+#include "lovageledge/transport/connection_refusal.hpp"
 #include "lovageledge/transport/log_exception.hpp"
 #include "lovageledge/transport/socket_output.hpp"
 
@@ -624,16 +625,27 @@
     }
     waiting = {};
     if (!own_place) {
-        report_unaccepted(socket, "connections");
+        refuse_connection(std::move(socket), "connections");
         co_return;
     }
     co_await serve_connection(std::move(socket), std::move(*own_place));
 }
 
-void http_server::report_unaccepted(asio::ip::tcp::socket& socket, const char* cause) {
+void http_server::refuse_connection(asio::ip::tcp::socket socket, const char* cause) {
     if (limits_.on_closed) {
         limits_.on_closed(cause);
     }
+    const bool is_told = send_refusal(socket);
+    const bool may_stay = is_told && socket.native_handle() < descriptor_limit_;
+    if (occupancy::seat refused = may_stay ? refused_.try_enter() : occupancy::seat{}) {
+        const auto executor = socket.get_executor();
+        asio::co_spawn(executor, discard_input(std::move(socket), std::move(refused)),
+                       log_exception("http.refuse"));
+        return;
+    }
+    if (is_told && discard_pending(socket)) {
+        return;
+    }
     const std::size_t unread = unread_bytes(socket);
     if (limits_.on_unanswered && unread > 0) {
         limits_.on_unanswered({cause, duration::zero(), 0, 0, unread});
@@ -656,7 +668,7 @@
         }
         std::string address = peer.address().to_string();
         if (socket.native_handle() >= descriptor_limit_ && !drop_one(address, "descriptors")) {
-            report_unaccepted(socket, "descriptors");
+            refuse_connection(std::move(socket), "descriptors");
             continue;
         }
         socket.set_option(asio::ip::tcp::no_delay{true}, code);
@@ -670,7 +682,7 @@
                 serve_when_there_is_place(std::move(socket), std::move(address), std::move(waiting)),
                 log_exception("http.serve"));
         } else {
-            report_unaccepted(socket, "connections");
+            refuse_connection(std::move(socket), "connections");
         }
     }
 }
@@ -701,6 +713,12 @@
     }
 }
 
+asio::awaitable<void> http_server::discard_input(asio::ip::tcp::socket socket,
+                                                 [[maybe_unused]] occupancy::seat refused) {
+    beast::tcp_stream stream{std::move(socket)};
+    co_await discard_input(stream);
+}
+
 void http_server::close_idle_connections() {
     is_closing_ = true;
     for (const auto& [id, caller] : open_->connections) {
--- a/modules/transport/include/lovageledge/transport/http_server.hpp
+++ b/modules/transport/include/lovageledge/transport/http_server.hpp
@@ -25,7 +25,7 @@
     /** Maximum size of a request body; longer ones are refused with status 413. */
     std::uint64_t body_bytes = std::uint64_t{1024} * 1024;
     /** Maximum number of open connections. A further one takes the place of the one that caller_connections
-        chooses; if there is none, it is closed as soon as it is accepted. */
+        chooses; if there is none, it is refused with status 503. */
     std::uint32_t connections = 4096;
     /** Time in which a caller must send a complete request; after it, status 408 is returned. */
     duration request_timeout = std::chrono::seconds{10};
@@ -339,7 +339,10 @@
     asio::awaitable<void> refuse_unread(connection& caller, boost::system::error_code code, bool has_no_room,
                                         occupancy::seat discarding);
     static asio::awaitable<void> discard_input(beast::tcp_stream& stream);
-    void report_unaccepted(asio::ip::tcp::socket& socket, const char* cause);
+    /** Refuses a new connection. Only a few are kept until they have sent what they send, and none of them if
+        descriptors are short. @param cause see http_limits::on_closed */
+    void refuse_connection(asio::ip::tcp::socket socket, const char* cause);
+    static asio::awaitable<void> discard_input(asio::ip::tcp::socket socket, occupancy::seat refused);
     /** Asks the connection that the policy chooses to give way to a new one from an address. @returns false
         if there is none */
     bool drop_one(const std::string& address, const char* cause);
@@ -358,6 +361,9 @@
     /** Most new connections that wait for others to give way. */
     static constexpr std::uint32_t max_waiting = 32;
     occupancy waiting_{max_waiting};
+    /** Refused new connections whose input is discarded; apart from the others, since anyone can cause them.
+     */
+    occupancy refused_{max_discarding};
     /** Accepted sockets have smaller descriptors while enough are left for files. */
     int descriptor_limit_ = 0;
     /** Set by close_idle_connections(): connections are closed after their current response. */
--- a/tests/gateway/connection_places_test.cpp
+++ b/tests/gateway/connection_places_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
+#include <filesystem>
 #include <future>
 #include <mutex>
 #include <spdlog/fmt/fmt.h>
@@ -21,6 +22,8 @@
     CPPUNIT_TEST(refusals_and_connections_that_give_way_with_several_threads);
     CPPUNIT_TEST(response_on_its_way_is_not_cut_for_a_new_connection);
     CPPUNIT_TEST(connections_that_gave_way_with_a_request_do_not_exceed_the_limit);
+    CPPUNIT_TEST(new_connection_without_a_place_is_refused_as_not_run);
+    CPPUNIT_TEST(refused_connections_are_few_at_a_time);
     CPPUNIT_TEST_SUITE_END();
 
     asio::io_context context_;
@@ -168,6 +171,64 @@
         CPPUNIT_ASSERT_EQUAL(limit, most.load());
         CPPUNIT_ASSERT(unanswered_.empty());
     }
+
+    /** Starts a server with one place, which a request takes until the end. */
+    blocking_connection start_full() {
+        http_limits limits;
+        limits.connections = 1;
+        std::promise<void> begun;
+        start(limits, 1, [&](http_exchange& exchange) -> asio::awaitable<void> {
+            begun.set_value();
+            asio::steady_timer timer{co_await asio::this_coro::executor, std::chrono::seconds{60}};
+            co_await timer.async_wait(asio::use_awaitable);
+            co_await exchange.respond(200, "whole");
+        });
+        blocking_connection busy = connect();
+        busy.write(request());
+        begun.get_future().wait();
+        return busy;
+    }
+
+    // New connections were closed without a word, and a request on them found a reset.
+    void new_connection_without_a_place_is_refused_as_not_run() {
+        const blocking_connection busy = start_full();
+        for (const std::size_t size : {std::size_t{4}, std::size_t{1000} * 1000}) {
+            for (const int delay_ms : {0, 50}) {
+                blocking_connection caller = connect();
+                std::this_thread::sleep_for(milliseconds{delay_ms});
+                caller.write(request(std::string(size, 'b')));
+                const std::string response = caller.read_message();
+                const std::string text = fmt::format("{} bytes: \"{}\"", size, response);
+                CPPUNIT_ASSERT_MESSAGE(text, response.rfind("HTTP/1.1 503", 0) == 0);
+                CPPUNIT_ASSERT_MESSAGE(text, response.find("Retry-After: ") != std::string::npos);
+                CPPUNIT_ASSERT_MESSAGE(text, response.find("Connection: close") != std::string::npos);
+                CPPUNIT_ASSERT_MESSAGE(text, response.find("not_run") != std::string::npos);
+                caller.close();
+            }
+        }
+        const std::scoped_lock lock{mutex_};
+        CPPUNIT_ASSERT(unanswered_.empty());
+    }
+
+    void refused_connections_are_few_at_a_time() {
+        constexpr int callers = 100;
+        constexpr std::ptrdiff_t most_held = 8;
+        const blocking_connection busy = start_full();
+        const auto descriptors = [] {
+            return std::distance(std::filesystem::directory_iterator{"/proc/self/fd"}, {});
+        };
+        const std::ptrdiff_t before = descriptors();
+        std::vector<blocking_connection> silent;
+        for (int i = 0; i < callers; ++i) {
+            silent.push_back(connect());
+        }
+        for (blocking_connection& caller : silent) {
+            assert_status(caller, 503);
+        }
+        std::this_thread::sleep_for(milliseconds{50}); // Until the others are closed.
+        const std::ptrdiff_t held = descriptors() - before - callers;
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{} held", held), held <= most_held);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(connection_places_test);
