The accept loop of a destroyed server ends without a look at the server

Cause: by reading, an accept that was cancelled by the destructor resumed its loop, which asked the freed acceptor whether it is open and, where the memory was used again, locked a freed mutex. Change: a cancelled accept ends the loop. Conclusion: the cause was not confirmed by a trace.

--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -658,6 +658,9 @@
         asio::ip::tcp::endpoint peer;
         asio::ip::tcp::socket socket = co_await acceptor_.async_accept(
             asio::make_strand(context_), peer, asio::redirect_error(asio::use_awaitable, code));
+        if (code == asio::error::operation_aborted) {
+            co_return; // The server may have been destroyed.
+        }
         if (code) {
             if (acceptor_.is_open()) {
                 drop_one({}, "descriptors");
