--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -1,5 +1,6 @@
 #include "lovageledge/transport/http_server.hpp"
 
+#include "lovageledge/transport/connection_refusal.hpp"
 #include "lovageledge/transport/log_exception.hpp"
 #include "lovageledge/transport/socket_output.hpp"
 
@@ -22,9 +23,6 @@
 constexpr std::size_t framing_bytes = std::size_t{16} * 1024;
 /** Pause after a failed accept. The usual cause, that no descriptors are left, lasts for a while. */
 constexpr auto accept_failure_pause = std::chrono::milliseconds{50};
-/** Most refused callers whose input is discarded at a time; others are reset. Bounds what is not accounted.
- */
-constexpr std::uint32_t max_discarding = 8;
 /** First size of a connection's input buffer. It holds the requests of most callers, and an idle connection
     keeps no more. */
 constexpr std::size_t idle_buffer_bytes = std::size_t{4} * 1024;
@@ -43,6 +41,9 @@
 constexpr std::size_t server_side_bytes = std::size_t{64} * 1024;
 /** Smaller responses on a connection are taken to have left the kernel when the next request arrives. */
 constexpr std::size_t small_response_bytes = std::size_t{4} * 1024;
+/** Time in which others must have given way to a new connection. */
+constexpr auto place_timeout = std::chrono::milliseconds{200};
+constexpr auto longest_place_check = std::chrono::milliseconds{50};
 /** Intervals at which the kernel is asked whether a caller has taken its responses. */
 constexpr auto first_taken_check = std::chrono::milliseconds{1};
 constexpr auto longest_taken_check = std::chrono::milliseconds{100};
@@ -341,9 +342,16 @@
     limits_.memory->set_victim_chooser([open = open_](const memory_share& requesting) -> memory_share* {
         const std::scoped_lock inner_lock{open->mutex};
         const auto found = open->shares.find(&requesting);
-        const auto chosen = open->policy.choose_for_memory(
-            found == open->shares.end() ? std::nullopt : std::optional{found->second}, steady_now());
-        return chosen ? &open->connections.at(*chosen)->memory() : nullptr;
+        const auto own = found == open->shares.end() ? std::nullopt : std::optional{found->second};
+        const time_point now = steady_now();
+        while (const auto chosen = open->policy.choose_for_memory(own, now)) {
+            connection& caller = *open->connections.at(*chosen);
+            open->policy.ask_to_leave(*chosen);
+            if (open->policy.confirm_leaving(*chosen, unsent_bytes(caller.stream().socket()) > 0, now)) {
+                return &caller.memory();
+            }
+        }
+        return static_cast<memory_share*>(nullptr);
     });
 }
 
@@ -399,27 +407,33 @@
     }
 }
 
+http_server::place::~place() {
+    if (open_ != nullptr) {
+        const std::scoped_lock lock{open_->mutex};
+        open_->policy.close(id_);
+    }
+}
+
 http_server::connection::connection(std::shared_ptr<connection_register> open, asio::ip::tcp::socket socket,
-                                    std::string address, const http_limits& limits)
+                                    place own_place, const http_limits& limits)
     : open_{std::move(open)}, limits_{limits}, stream_{std::move(socket)},
       buffer_{limits.header_bytes + framing_bytes}, memory_{limits.memory, memory_use::connection,
                                                             [this] { drop("memory"); }},
       hooks_{[this](std::size_t bytes) { on_sending(bytes); }, [this](bool is_taken) { on_sent(is_taken); },
              [this] { return hold_bytes(memory_.counted() + limits_.socket_buffer_bytes); }},
-      address_{std::move(address)}, opened_at_{steady_now()} {
+      place_{std::move(own_place)}, opened_at_{steady_now()} {
     ++open_->count;
     const std::scoped_lock lock{open_->mutex};
-    id_ = open_->next_id++;
-    open_->connections.emplace(id_, this);
-    open_->shares.emplace(&memory_, id_);
-    open_->policy.open(id_, address_, steady_now());
+    open_->connections.emplace(id(), this);
+    open_->shares.emplace(&memory_, id());
+    open_->policy.set_stage(id(), connection_stage::silent, steady_now());
 }
 
 http_server::connection::~connection() {
     const std::scoped_lock lock{open_->mutex};
-    open_->policy.close(id_);
+    open_->policy.close(id());
     open_->shares.erase(&memory_);
-    open_->connections.erase(id_);
+    open_->connections.erase(id());
     --open_->count;
 }
 
@@ -454,7 +468,7 @@
 void http_server::connection::set_stage(connection_stage stage) {
     stage_ = stage;
     const std::scoped_lock lock{open_->mutex};
-    open_->policy.set_stage(id_, stage, steady_now());
+    open_->policy.set_stage(id(), stage, steady_now());
 }
 
 bool http_server::connection::hold_bytes(std::size_t bytes) {
@@ -462,7 +476,7 @@
         return false;
     }
     const std::scoped_lock lock{open_->mutex};
-    open_->policy.set_held(id_, memory_.counted());
+    open_->policy.set_held(id(), memory_.counted());
     return true;
 }
 
@@ -516,9 +530,9 @@
 }
 
 void http_server::connection::mark_dropped(const char* cause) {
-    is_dropped_ = true;
     drop_cause_ = cause;
-    open_->policy.close(id_);
+    ++open_->dropped;
+    open_->policy.leave(id());
     if (limits_.on_closed) {
         limits_.on_closed(cause);
     }
@@ -536,21 +550,31 @@
 void http_server::connection::drop(const char* cause) {
     {
         const std::scoped_lock lock{open_->mutex};
-        if (is_dropped_) {
+        if (is_dropped()) {
             return;
         }
         mark_dropped(cause);
+        open_->policy.set_held(id(), 0);
     }
     end_waiting();
 }
 
+void http_server::connection::give_way(const char* cause) {
+    const bool has_unsent = unsent_bytes(stream_.socket()) > 0;
+    if (!is_dropped() && open_->policy.confirm_leaving(id(), has_unsent, steady_now())) {
+        mark_dropped(cause);
+        end_waiting();
+    }
+}
+
 bool http_server::connection::revive() {
     if (memory_.is_cut() || !stream_.socket().is_open()) {
         return false;
     }
     const std::scoped_lock lock{open_->mutex};
-    is_dropped_ = false;
-    open_->policy.open(id_, address_, steady_now());
+    drop_cause_ = nullptr;
+    is_last_request_ = true;
+    open_->policy.stay(id(), steady_now());
     return true;
 }
 
@@ -560,33 +584,75 @@
     if (!chosen) {
         return false;
     }
-    connection& caller = *open_->connections.at(*chosen);
-    caller.mark_dropped(cause);
-    asio::post(caller.stream().get_executor(), [open = open_, id = *chosen] {
+    open_->policy.ask_to_leave(*chosen);
+    asio::post(open_->connections.at(*chosen)->stream().get_executor(), [open = open_, id = *chosen, cause] {
         const std::scoped_lock inner_lock{open->mutex};
         const auto found = open->connections.find(id);
-        if (found != open->connections.end() && found->second->is_dropped()) {
-            found->second->end_waiting();
+        if (found != open->connections.end()) {
+            found->second->give_way(cause);
         }
     });
     return true;
 }
 
-const char* http_server::make_place(asio::ip::tcp::socket& socket, const std::string& address) {
-    const char* cause = nullptr;
-    if (socket.native_handle() >= descriptor_limit_) {
-        cause = "descriptors";
-    } else {
-        const std::scoped_lock lock{open_->mutex};
-        cause = open_->policy.is_full_for(address) ? "connections" : nullptr;
+std::optional<http_server::place> http_server::take_place(const std::string& address, bool has_made_room) {
+    const std::scoped_lock lock{open_->mutex};
+    const bool is_full =
+        has_made_room ? open_->policy.is_out_of_places_for(address) : open_->policy.is_full_for(address);
+    if (is_full) {
+        return std::nullopt;
+    }
+    const std::uint64_t id = open_->next_id++;
+    open_->policy.open(id, address, steady_now());
+    // It can't be chosen before its connection exists.
+    open_->policy.set_stage(id, connection_stage::serving, steady_now());
+    return place{open_, id};
+}
+
+asio::awaitable<void> http_server::serve_when_there_is_place(asio::ip::tcp::socket socket,
+                                                             std::string address, occupancy::seat waiting) {
+    const time_point deadline = steady_now() + place_timeout;
+    asio::steady_timer timer{socket.get_executor()};
+    duration pause{};
+    bool has_asked = false;
+    std::optional<place> own_place;
+    while (!own_place && !has_passed(deadline)) {
+        if (open_->leaving() < waiting_.count()) {
+            has_asked = drop_one(address, "connections") || has_asked;
+            // Half of the room is for those that others give way to.
+            if (!has_asked && waiting_.count() > max_waiting / 2) {
+                break;
+            }
+        }
+        timer.expires_after(pause);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        pause = std::clamp<duration>(pause * 2, first_taken_check, longest_place_check);
+        own_place = take_place(address, has_asked);
     }
-    return cause == nullptr || drop_one(address, cause) ? nullptr : cause;
+    waiting = {};
+    if (!own_place) {
+        refuse_connection(std::move(socket), "connections");
+        co_return;
+    }
+    co_await serve_connection(std::move(socket), std::move(*own_place));
 }
 
-void http_server::report_unaccepted(asio::ip::tcp::socket& socket, const char* cause) {
+void http_server::refuse_connection(asio::ip::tcp::socket socket, const char* cause) {
     if (limits_.on_closed) {
         limits_.on_closed(cause);
     }
+    const bool is_told = send_refusal(socket);
+    const bool may_stay = is_told && socket.native_handle() < descriptor_limit_;
+    if (occupancy::seat refused = may_stay ? refused_.try_enter() : occupancy::seat{}) {
+        const auto executor = socket.get_executor();
+        asio::co_spawn(executor, discard_input(std::move(socket), std::move(refused)),
+                       log_exception("http.refuse"));
+        return;
+    }
+    if (is_told && discard_pending(socket)) {
+        return;
+    }
     const std::size_t unread = unread_bytes(socket);
     if (limits_.on_unanswered && unread > 0) {
         limits_.on_unanswered({cause, duration::zero(), 0, 0, unread});
@@ -599,6 +665,9 @@
         asio::ip::tcp::endpoint peer;
         asio::ip::tcp::socket socket = co_await acceptor_.async_accept(
             asio::make_strand(context_), peer, asio::redirect_error(asio::use_awaitable, code));
+        if (code == asio::error::operation_aborted) {
+            co_return; // The server may have been destroyed.
+        }
         if (code) {
             if (acceptor_.is_open()) {
                 drop_one({}, "descriptors");
@@ -608,19 +677,28 @@
             continue;
         }
         std::string address = peer.address().to_string();
-        if (const char* cause = make_place(socket, address); cause != nullptr) {
-            report_unaccepted(socket, cause);
+        if (socket.native_handle() >= descriptor_limit_ && !drop_one(address, "descriptors")) {
+            refuse_connection(std::move(socket), "descriptors");
             continue;
         }
         socket.set_option(asio::ip::tcp::no_delay{true}, code);
         const auto executor = socket.get_executor();
-        asio::co_spawn(executor, serve_connection(std::move(socket), std::move(address)),
-                       log_exception("http.serve"));
+        if (std::optional<place> own_place = take_place(address, false)) {
+            asio::co_spawn(executor, serve_connection(std::move(socket), std::move(*own_place)),
+                           log_exception("http.serve"));
+        } else if (occupancy::seat waiting = waiting_.try_enter()) {
+            asio::co_spawn(
+                executor,
+                serve_when_there_is_place(std::move(socket), std::move(address), std::move(waiting)),
+                log_exception("http.serve"));
+        } else {
+            refuse_connection(std::move(socket), "connections");
+        }
     }
 }
 
-asio::awaitable<void> http_server::serve_connection(asio::ip::tcp::socket socket, std::string address) {
-    connection caller{open_, std::move(socket), std::move(address), limits_};
+asio::awaitable<void> http_server::serve_connection(asio::ip::tcp::socket socket, place own_place) {
+    connection caller{open_, std::move(socket), std::move(own_place), limits_};
     while (co_await serve_request(caller)) {
     }
     if (caller.is_dropped() || !caller.stream().socket().is_open() || caller.has_taken_responses()) {
@@ -645,6 +723,12 @@
     }
 }
 
+asio::awaitable<void> http_server::discard_input(asio::ip::tcp::socket socket,
+                                                 [[maybe_unused]] occupancy::seat refused) {
+    beast::tcp_stream stream{std::move(socket)};
+    co_await discard_input(stream);
+}
+
 void http_server::close_idle_connections() {
     is_closing_ = true;
     for (const auto& [id, caller] : open_->connections) {
@@ -719,11 +803,11 @@
     std::size_t lines = count_lines(caller.buffer().data());
     while (!code && !parser.is_done()) {
         // Memory is accounted before it is spent: a parsed head takes up to 20 times its bytes.
-        const std::size_t open_before = open_->policy.size();
+        const std::uint64_t dropped_before = open_->dropped;
         if (!caller.hold(request_bytes(parser, caller.buffer(), lines))) {
             co_return asio::error::no_memory;
         }
-        if (open_->policy.size() < open_before) {
+        if (open_->dropped != dropped_before) {
             // What was given up is freed in the handlers that are queued now.
             co_await asio::post(caller.stream().get_executor(), asio::use_awaitable);
             if (caller.is_dropped()) {
@@ -759,12 +843,9 @@
     co_return code;
 }
 
-bool http_server::may_refuse(connection& caller) const {
-    return discarding_ < max_discarding && caller.stream().socket().is_open();
-}
-
 asio::awaitable<void> http_server::refuse_unread(connection& caller, boost::system::error_code code,
-                                                 bool has_no_room) {
+                                                 bool has_no_room,
+                                                 [[maybe_unused]] occupancy::seat discarding) {
     const bool is_head_too_large = code == http::error::header_limit;
     const unsigned status = has_no_room                       ? 503
                             : is_head_too_large               ? 431
@@ -781,9 +862,7 @@
         headers.push_back({"Retry-After", retry_after_no_memory});
     }
     co_await exchange.respond(status, body.dump(), "application/json", std::move(headers));
-    ++discarding_;
     co_await discard_input(caller.stream());
-    --discarding_;
 }
 
 asio::awaitable<bool> http_server::serve_request(connection& caller) {
@@ -805,9 +884,11 @@
         }
     }
     const bool has_begun = !caller.is_dropped() || caller.revive();
-    if (!has_begun && caller.memory().is_cut() && may_refuse(caller)) {
-        co_await refuse_unread(caller, {}, true);
-        co_return false;
+    if (!has_begun && caller.memory().is_cut() && caller.stream().socket().is_open()) {
+        if (occupancy::seat discarding = discarding_.try_enter()) {
+            co_await refuse_unread(caller, {}, true, std::move(discarding));
+            co_return false;
+        }
     }
     if (!has_begun || (!caller.has_taken_responses() && !co_await wait_until_taken(caller))) {
         caller.report_unanswered(caller.close_cause("reset"));
@@ -829,14 +910,16 @@
     if (code) {
         parser.reset(); // Frees the body while the caller is still sending.
         const bool has_no_room = caller.memory().is_cut();
-        const bool is_refused = has_no_room ? discarding_ < max_discarding : !caller.is_dropped();
-        if (!is_refused) {
+        occupancy::seat discarding = has_no_room            ? discarding_.try_enter()
+                                     : !caller.is_dropped() ? discarding_.enter()
+                                                            : occupancy::seat{};
+        if (!discarding) {
             caller.report_unanswered(caller.close_cause("memory"));
             reset(caller.stream());
             co_return false;
         }
         caller.hold_idle();
-        co_await refuse_unread(caller, code, has_no_room);
+        co_await refuse_unread(caller, code, has_no_room, std::move(discarding));
         co_return false;
     }
     if (caller.is_dropped() && !caller.revive()) {
@@ -846,13 +929,13 @@
     if (!caller.hold(request_bytes(*parser, caller.buffer(), 0) + parsed_head_bytes(*parser) +
                      server_side_bytes)) {
         parser.reset();
-        co_await refuse_unread(caller, {}, true);
+        co_await refuse_unread(caller, {}, true, discarding_.enter());
         co_return false;
     }
     caller.memory().set_complete();
     caller.set_stage(connection_stage::serving);
     http_exchange exchange{caller.stream(), parser->release(), limits_, &caller.hooks()};
-    if (is_closing_) {
+    if (is_closing_ || caller.is_last_request()) {
         exchange.close_after_response();
     }
     co_await on_request_(exchange);
--- a/modules/transport/include/lovageledge/transport/http_server.hpp
+++ b/modules/transport/include/lovageledge/transport/http_server.hpp
@@ -3,6 +3,7 @@
 #include "lovageledge/transport/caller_connections.hpp"
 #include "lovageledge/transport/http_connection.hpp"
 #include "lovageledge/transport/limited_reader.hpp"
+#include "lovageledge/transport/occupancy.hpp"
 #include "lovageledge/transport/socket_input.hpp"
 #include "lovageledge/transport/unanswered_request.hpp"
 
@@ -24,7 +25,7 @@
     /** Maximum size of a request body; longer ones are refused with status 413. */
     std::uint64_t body_bytes = std::uint64_t{1024} * 1024;
     /** Maximum number of open connections. A further one takes the place of the one that caller_connections
-        chooses; if there is none, it is closed as soon as it is accepted. */
+        chooses; if there is none, it is refused with status 503. */
     std::uint32_t connections = 4096;
     /** Time in which a caller must send a complete request; after it, status 408 is returned. */
     duration request_timeout = std::chrono::seconds{10};
@@ -183,34 +184,65 @@
     std::uint32_t connections() const { return open_->count; }
     /** @returns the number of connections from which a request is being read or answered. Precondition: as
         for set_limits(). */
-    std::size_t busy_connections() const { return open_->count - open_->policy.idle(); }
+    std::size_t busy_connections() const { return open_->count - open_->policy.idle() + waiting_.count(); }
     /** @returns the port that the server listens on */
     std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
 
 private:
     class connection;
+    class place;
 
     /** The open connections by identifier. Shared with them, since those of a server that is destroyed end
        with its context. */
     struct connection_register {
         std::atomic<std::uint32_t> count{0};
+        /** Number of times that a connection was given up for the sake of others. */
+        std::atomic<std::uint64_t> dropped{0};
         std::mutex mutex;
         std::map<std::uint64_t, connection*> connections;
         std::map<const memory_share*, std::uint64_t> shares;
         caller_connections policy{connection_limits{}};
         std::uint64_t next_id = 0;
+
+        /** @returns the number of connections that are about to be closed */
+        std::size_t leaving() {
+            const std::scoped_lock lock{mutex};
+            return policy.leaving();
+        }
+    };
+
+    /** The place of a connection among those that the limits allow, until it is destroyed. */
+    class place {
+    public:
+        place(std::shared_ptr<connection_register> open, std::uint64_t id)
+            : open_{std::move(open)}, id_{id} {}
+        place(place&& other) noexcept = default;
+        place& operator=(place&& other) noexcept {
+            std::swap(open_, other.open_);
+            std::swap(id_, other.id_);
+            return *this;
+        }
+        place(const place&) = delete;
+        place& operator=(const place&) = delete;
+        ~place();
+
+        std::uint64_t id() const { return id_; }
+
+    private:
+        std::shared_ptr<connection_register> open_;
+        std::uint64_t id_;
     };
 
     /** An open connection, registered from its accept until its end, however it ends. */
     class connection {
     public:
-        connection(std::shared_ptr<connection_register> open, asio::ip::tcp::socket socket,
-                   std::string address, const http_limits& limits);
+        connection(std::shared_ptr<connection_register> open, asio::ip::tcp::socket socket, place own_place,
+                   const http_limits& limits);
         connection(const connection&) = delete;
         connection& operator=(const connection&) = delete;
         ~connection();
 
-        std::uint64_t id() const { return id_; }
+        std::uint64_t id() const { return place_.id(); }
         beast::tcp_stream& stream() { return stream_; }
         /** Received bytes that no request was read from yet. */
         beast::flat_buffer& buffer() { return buffer_; }
@@ -227,7 +259,10 @@
          */
         void report_unanswered(const char* cause);
         /** @returns why the connection is closed, for report_unanswered() */
-        const char* close_cause(const char* otherwise) const { return is_dropped_ ? drop_cause_ : otherwise; }
+        const char* close_cause(const char* otherwise) const {
+            const char* cause = drop_cause_;
+            return cause == nullptr ? otherwise : cause;
+        }
 
         void set_stage(connection_stage stage);
         /** Accounts for a request that is being received, with its parsed head and its body.
@@ -245,10 +280,15 @@
         void mark_dropped(const char* cause);
         /** The second part of drop(): ends what the connection waits for. */
         void end_waiting();
-        bool is_dropped() const { return is_dropped_; }
-        /** Keeps a connection on which a request arrived just when it was to be closed for another one.
+        /** Closes this connection for the sake of a new one, unless it stays by what the kernel holds of it.
+            Precondition: the register is locked. */
+        void give_way(const char* cause);
+        bool is_dropped() const { return drop_cause_ != nullptr; }
+        /** Keeps a connection for one request that arrived just when it was to be closed for another one.
             @returns false if it has to end */
         bool revive();
+        /** @returns true if the connection ends with its current request */
+        bool is_last_request() const { return is_last_request_; }
 
     private:
         bool hold_bytes(std::size_t bytes);
@@ -262,24 +302,30 @@
         beast::flat_buffer buffer_;
         memory_share memory_;
         response_hooks hooks_;
-        std::string address_;
-        std::uint64_t id_ = 0;
+        place place_;
         limited_reader reader_{stream_.socket()};
         time_point opened_at_;
         std::uint64_t begun_requests_ = 0;
         /** Bytes of the current request that were read. */
         std::size_t read_bytes_ = 0;
-        const char* drop_cause_ = "";
+        /** nullptr unless the connection is closed for the sake of others. */
+        std::atomic<const char*> drop_cause_{nullptr};
         /** Bytes of responses that the caller may not have taken yet. */
         std::size_t sent_bytes_ = 0;
+        bool is_last_request_ = false;
         bool has_large_receive_buffer_ = false;
         bool has_large_send_buffer_ = false;
-        std::atomic<bool> is_dropped_{false};
         connection_stage stage_ = connection_stage::silent;
     };
 
     asio::awaitable<void> accept_loop();
-    asio::awaitable<void> serve_connection(asio::ip::tcp::socket socket, std::string address);
+    asio::awaitable<void> serve_connection(asio::ip::tcp::socket socket, place own_place);
+    /** Serves a new connection when others have given way for it. */
+    asio::awaitable<void> serve_when_there_is_place(asio::ip::tcp::socket socket, std::string address,
+                                                    occupancy::seat waiting);
+    /** @returns the place of a new connection from an address; nothing if the limits allow none
+        @param has_made_room true if another one was asked to give way, which frees what memory it holds */
+    std::optional<place> take_place(const std::string& address, bool has_made_room);
     asio::awaitable<bool> serve_request(connection& caller);
     asio::awaitable<bool> wait_for_request(connection& caller);
     /** Waits until the caller has taken the responses to its former requests. @returns false if it did not */
@@ -289,15 +335,16 @@
     /** Reads more of a request into the connection's buffer. */
     static asio::awaitable<boost::system::error_code>
     read_more(connection& caller, http::request_parser<http::string_body>& parser, time_point limit);
-    /** @returns true if a caller whose memory was given up can still be told */
-    bool may_refuse(connection& caller) const;
-    asio::awaitable<void> refuse_unread(connection& caller, boost::system::error_code code, bool has_no_room);
+    /** Refuses a request that was not fully read. The caller counts as a discarding one meanwhile. */
+    asio::awaitable<void> refuse_unread(connection& caller, boost::system::error_code code, bool has_no_room,
+                                        occupancy::seat discarding);
     static asio::awaitable<void> discard_input(beast::tcp_stream& stream);
-    /** Makes place for a new connection. @returns nullptr, or what is short if there is no place, so that the
-        new connection is closed */
-    const char* make_place(asio::ip::tcp::socket& socket, const std::string& address);
-    void report_unaccepted(asio::ip::tcp::socket& socket, const char* cause);
-    /** Closes the connection that the policy chooses for a new one from an address. @returns false if none */
+    /** Refuses a new connection. Only a few are kept until they have sent what they send, and none of them if
+        descriptors are short. @param cause see http_limits::on_closed */
+    void refuse_connection(asio::ip::tcp::socket socket, const char* cause);
+    static asio::awaitable<void> discard_input(asio::ip::tcp::socket socket, occupancy::seat refused);
+    /** Asks the connection that the policy chooses to give way to a new one from an address. @returns false
+        if there is none */
     bool drop_one(const std::string& address, const char* cause);
     void apply_limits();
 
@@ -306,8 +353,17 @@
     handler on_request_;
     asio::ip::tcp::acceptor acceptor_;
     std::shared_ptr<connection_register> open_ = std::make_shared<connection_register>();
-    /** Number of refused callers whose input is read and discarded, so that they receive the refusal. */
-    std::uint32_t discarding_ = 0;
+    /** Most refused callers whose input is discarded at a time; others are reset. Bounds what is not
+        accounted. */
+    static constexpr std::uint32_t max_discarding = 8;
+    /** Refused callers whose input is read and discarded, so that they receive the refusal. */
+    occupancy discarding_{max_discarding};
+    /** Most new connections that wait for others to give way. */
+    static constexpr std::uint32_t max_waiting = 32;
+    occupancy waiting_{max_waiting};
+    /** Refused new connections whose input is discarded; apart from the others, since anyone can cause them.
+     */
+    occupancy refused_{max_discarding};
     /** Accepted sockets have smaller descriptors while enough are left for files. */
     int descriptor_limit_ = 0;
     /** Set by close_idle_connections(): connections are closed after their current response. */
