A status whose fields have other types does not end an engine's probes

Callers saw: nothing recorded; ledged would never again have probed an engine, or sent it an order, after one such status. Cause: the fields were read without a check of their types; the exception ended the loop over the orders, which still counted as running. Change: such a status is none, so that the engine is unreachable for this probe. Conclusion: events of a token stream are read in the same way (text that is no text, choices that are no list): by reading, open.

--- a/modules/service/engine_client.cpp
+++ b/modules/service/engine_client.cpp
@@ -22,6 +22,18 @@
     return id.request.text() + "." + std::to_string(id.attempt);
 }
 
+/** @returns true if all fields of an engine's status that are given have their type */
+bool is_status(const json& body) {
+    if (!body.is_object()) {
+        return false;
+    }
+    const json start = body.value("start_id", json(""));
+    const json leaving = body.value("leaving", json(false));
+    const json loaded = body.value("loaded", json::array());
+    return start.is_string() && leaving.is_boolean() && loaded.is_array() &&
+           std::all_of(loaded.begin(), loaded.end(), [](const json& key) { return key.is_string(); });
+}
+
 } // namespace
 
 /** Extracts the tokens from a stream of server-sent events. */
@@ -158,7 +170,7 @@
         co_return std::nullopt;
     }
     const json body = json::parse(response->body, nullptr, false);
-    if (!response->is_success() || !body.is_object()) {
+    if (!response->is_success() || !is_status(body)) {
         failure = {"engine.status", connection.address(), "status " + std::to_string(response->status)};
         co_return std::nullopt;
     }
