A late second response is not taken for the response to an engine's next order

Callers saw: nothing recorded; what an engine sends behind a response was taken for its next status, or for the response to the next load or unload. Cause: the order connection was used again while it was open, without asking whether it holds unread bytes. Change: is_reusable() is asked, as for all other kept connections. Conclusion: a response that arrives after the next request can't be told from its own: engines send no id.

--- a/modules/service/engine_client.cpp
+++ b/modules/service/engine_client.cpp
@@ -190,8 +190,8 @@
         order_connection_.close();
     }
     address_ = command.address;
-    const bool is_open =
-        order_connection_.is_open() || co_await order_connection_.open(address_, connect_timeout, failure);
+    const bool is_open = order_connection_.is_reusable() ||
+                         co_await order_connection_.open(address_, connect_timeout, failure);
     std::optional<engine_status> status;
     if (is_open) {
         status = co_await read_status(order_connection_, failure);
@@ -206,7 +206,7 @@
 asio::awaitable<std::optional<http_response>> engine_client::send_order(std::string target, std::string body,
                                                                         bool& is_sent) {
     is_sent = false;
-    if (!order_connection_.is_open()) {
+    if (!order_connection_.is_reusable()) {
         co_return std::nullopt;
     }
     error failure;
--- a/tests/gateway/engine_client_test.cpp
+++ b/tests/gateway/engine_client_test.cpp
@@ -14,6 +14,7 @@
 class engine_client_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(engine_client_test);
     CPPUNIT_TEST(status_with_fields_of_other_types_does_not_stop_the_probes);
+    CPPUNIT_TEST(late_second_response_is_not_taken_for_the_next_status);
     CPPUNIT_TEST_SUITE_END();
 
     static std::string status(const std::string& body) {
@@ -54,6 +55,18 @@
             CPPUNIT_ASSERT((std::vector<std::string>{"none", "a"}) == probe_twice(server));
         }
     }
+
+    // A repeated status of the engine was taken for the current one.
+    void late_second_response_is_not_taken_for_the_next_status() {
+        const scripted_server server{[](blocking_connection& connection, int number) {
+            while (!connection.read_message().empty()) {
+                connection.write(status(R"({"start_id":")" + std::to_string(number) + R"("})"));
+                std::this_thread::sleep_for(milliseconds{50});
+                connection.write(status(R"({"start_id":"late"})"));
+            }
+        }};
+        CPPUNIT_ASSERT((std::vector<std::string>{"1", "2"}) == probe_twice(server));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(engine_client_test);
