--- a/tests/gateway/connection_places_test.cpp
+++ b/tests/gateway/connection_places_test.cpp
@@ -219,6 +219,7 @@
         };
         const std::ptrdiff_t before = descriptors();
         std::vector<blocking_connection> silent;
+        silent.reserve(callers);
         for (int i = 0; i < callers; ++i) {
             silent.push_back(connect());
         }
