--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -27,7 +27,11 @@
 constexpr auto max_wait_for_records = milliseconds{2000};
 /** Part of that time in which the release of the order domain may still be written. */
 constexpr auto last_write_time = milliseconds{200};
-constexpr auto stop_check_interval = milliseconds{50};
+/** Connections are drained for at least late_drain_time, though the process was suspended or the store was
+   slow, as long as this part of the stop limit is left to exit. */
+constexpr auto min_exit_reserve = milliseconds{100};
+constexpr auto late_drain_time = milliseconds{100};
+constexpr auto drain_check_interval = milliseconds{10};
 constexpr auto listen_retry_interval = milliseconds{100};
 constexpr auto metrics_retry_interval = milliseconds{1000};
 /** Bounds the memory for entries that can't be used, each of which is logged once. */
@@ -257,10 +261,11 @@
     asio::co_spawn(context_, stop_when_idle(std::move(on_stopped)), log_exception("gateway.stop"));
 }
 
-asio::awaitable<void> gateway::wait_until(time_point limit, std::function<bool()> is_done) {
+asio::awaitable<void> gateway::wait_until(time_point limit, std::function<bool()> is_done,
+                                          duration check_interval) {
     asio::steady_timer timer{context_};
     while (state_.now() < limit && !is_done()) {
-        timer.expires_after(std::min<duration>(stop_check_interval, limit - state_.now()));
+        timer.expires_after(std::min(check_interval, limit - state_.now()));
         boost::system::error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
@@ -277,6 +282,22 @@
     co_await wait_until(limit, [&] { return *is_done; });
 }
 
+void gateway::end_requests() {
+    for (const auto& handler : std::set{handlers_}) {
+        handler->end_for_stop();
+    }
+}
+
+asio::awaitable<void> gateway::drain_callers(time_point limit) {
+    server_drain drain{caller_server_};
+    const auto is_done = [&] { return drain.advance(state_.now()); };
+    co_await wait_until(state_.answer_until, is_done, drain_check_interval);
+    end_requests();
+    const time_point last = limit + exit_reserve - min_exit_reserve;
+    co_await wait_until(std::min(last, std::max(limit, state_.now() + late_drain_time)), is_done,
+                        drain_check_interval);
+}
+
 asio::awaitable<void> gateway::stop_when_idle(std::function<void()> on_stopped) {
     const time_point stop_began = state_.now();
     const time_point limit = stop_began + state_.settings.stop_limit - exit_reserve;
@@ -286,13 +307,10 @@
         return caller_server_.busy_connections() == 0 && state_.now() - stop_began > balancer_lag;
     };
     co_await wait_until(state_.answer_until, is_idle);
-    for (const auto& handler : std::set{handlers_}) {
-        handler->end_for_stop();
-    }
+    end_requests();
     co_await wait_until(limit, is_idle);
     co_await finish_coordination(limit + last_write_time);
-    // Requests may have arrived while the coordinator wrote to the store.
-    co_await wait_until(limit, is_idle);
+    co_await drain_callers(limit);
     state_.log.write(
         event::instance_stopped,
         fmt::format("instance={} drained={}", state_.settings.name.text(), state_.requests_in_progress == 0));
--- a/modules/gateway/include/lovageledge/gateway/gateway.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway.hpp
@@ -77,7 +77,12 @@
     asio::awaitable<void> retry_metrics();
     /** Ends the coordination with other gateways, or gives it up at the limit. */
     asio::awaitable<void> finish_coordination(time_point limit);
-    asio::awaitable<void> wait_until(time_point limit, std::function<bool()> is_done);
+    asio::awaitable<void> wait_until(time_point limit, std::function<bool()> is_done,
+                                     duration check_interval = std::chrono::milliseconds{50});
+    /** Ends the requests that have no response yet with an error response. */
+    void end_requests();
+    /** Answers what has arrived, closes the callers' connections and accepts no more. */
+    asio::awaitable<void> drain_callers(time_point limit);
     asio::awaitable<void> stop_when_idle(std::function<void()> on_stopped);
     void drop_server(const server_name& name);
 
--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -1,6 +1,7 @@
 #include "lovageledge/transport/http_server.hpp"
 
 #include "lovageledge/transport/connection_refusal.hpp"
+#include "lovageledge/transport/handshake_filter.hpp"
 #include "lovageledge/transport/log_exception.hpp"
 #include "lovageledge/transport/socket_output.hpp"
 
@@ -10,6 +11,7 @@
 #include <limits>
 #include <netinet/tcp.h>
 #include <nlohmann/json.hpp>
+#include <spdlog/spdlog.h>
 #include <sys/resource.h>
 
 namespace lovageledge {
@@ -383,10 +385,31 @@
         acceptor_.close(code);
         return false;
     }
+    open_->is_accepting = true;
     asio::co_spawn(acceptor_.get_executor(), accept_loop(), log_exception("http.accept"));
     return true;
 }
 
+void http_server::drop_new_handshakes() {
+    asio::post(acceptor_.get_executor(), [this] {
+        const auto code = lovageledge::drop_new_handshakes(acceptor_);
+        if (code) {
+            spdlog::info("http.listen: new connections are not held off before the close: {}",
+                         code.message());
+        }
+    });
+}
+
+void http_server::accept_rest() {
+    if (open_->is_accepting_rest.exchange(true)) {
+        return;
+    }
+    asio::post(acceptor_.get_executor(), [this] {
+        boost::system::error_code ignored;
+        acceptor_.cancel(ignored);
+    });
+}
+
 void http_server::stop_accepting() {
     asio::post(acceptor_.get_executor(), [this] {
         boost::system::error_code ignored;
@@ -659,48 +682,77 @@
     }
 }
 
+boost::system::error_code http_server::accept_waiting() {
+    boost::system::error_code code;
+    acceptor_.non_blocking(true, code);
+    while (!code) {
+        asio::ip::tcp::endpoint peer;
+        asio::ip::tcp::socket socket{asio::make_strand(context_)};
+        acceptor_.accept(socket, peer, code);
+        if (!code) {
+            admit(std::move(socket), peer);
+        }
+    }
+    return code == asio::error::would_block ? boost::system::error_code{} : code;
+}
+
 asio::awaitable<void> http_server::accept_loop() {
+    const std::shared_ptr<connection_register> open = open_;
     while (acceptor_.is_open()) {
         boost::system::error_code code;
-        asio::ip::tcp::endpoint peer;
-        asio::ip::tcp::socket socket = co_await acceptor_.async_accept(
-            asio::make_strand(context_), peer, asio::redirect_error(asio::use_awaitable, code));
-        if (code == asio::error::operation_aborted) {
-            co_return; // The server may have been destroyed.
-        }
-        if (code) {
-            if (acceptor_.is_open()) {
-                drop_one({}, "descriptors");
-                asio::steady_timer timer{co_await asio::this_coro::executor, accept_failure_pause};
-                co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, code));
+        if (open->is_accepting_rest) {
+            code = accept_waiting();
+            if (!code) {
+                acceptor_.close(code);
+                break;
             }
-            continue;
-        }
-        std::string address = peer.address().to_string();
-        if (socket.native_handle() >= descriptor_limit_ && !drop_one(address, "descriptors")) {
-            refuse_connection(std::move(socket), "descriptors");
-            continue;
-        }
-        socket.set_option(asio::ip::tcp::no_delay{true}, code);
-        const auto executor = socket.get_executor();
-        if (std::optional<place> own_place = take_place(address, false)) {
-            asio::co_spawn(executor, serve_connection(std::move(socket), std::move(*own_place)),
-                           log_exception("http.serve"));
-        } else if (occupancy::seat waiting = waiting_.try_enter()) {
-            asio::co_spawn(
-                executor,
-                serve_when_there_is_place(std::move(socket), std::move(address), std::move(waiting)),
-                log_exception("http.serve"));
         } else {
-            refuse_connection(std::move(socket), "connections");
+            asio::ip::tcp::endpoint peer;
+            asio::ip::tcp::socket socket = co_await acceptor_.async_accept(
+                asio::make_strand(context_), peer, asio::redirect_error(asio::use_awaitable, code));
+            if (code == asio::error::operation_aborted && !open->is_accepting_rest) {
+                break; // The server may have been destroyed.
+            }
+            if (!code) {
+                admit(std::move(socket), peer);
+            }
+        }
+        const bool has_failed = code && code != asio::error::operation_aborted && acceptor_.is_open();
+        if (has_failed) {
+            drop_one({}, "descriptors");
+            asio::steady_timer timer{co_await asio::this_coro::executor, accept_failure_pause};
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, code));
         }
     }
+    open->is_accepting = false;
+}
+
+void http_server::admit(asio::ip::tcp::socket socket, const asio::ip::tcp::endpoint& peer) {
+    std::string address = peer.address().to_string();
+    if (socket.native_handle() >= descriptor_limit_ && !drop_one(address, "descriptors")) {
+        refuse_connection(std::move(socket), "descriptors");
+        return;
+    }
+    boost::system::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
+    const auto executor = socket.get_executor();
+    if (std::optional<place> own_place = take_place(address, false)) {
+        asio::co_spawn(executor, serve_connection(std::move(socket), std::move(*own_place)),
+                       log_exception("http.serve"));
+    } else if (occupancy::seat waiting = waiting_.try_enter()) {
+        asio::co_spawn(executor,
+                       serve_when_there_is_place(std::move(socket), std::move(address), std::move(waiting)),
+                       log_exception("http.serve"));
+    } else {
+        refuse_connection(std::move(socket), "connections");
+    }
 }
 
 asio::awaitable<void> http_server::serve_connection(asio::ip::tcp::socket socket, place own_place) {
     connection caller{open_, std::move(socket), std::move(own_place), limits_};
     while (co_await serve_request(caller)) {
     }
+    caller.set_ending();
     if (caller.is_dropped() || !caller.stream().socket().is_open() || caller.has_taken_responses()) {
         co_return;
     }
@@ -729,16 +781,34 @@
     co_await discard_input(stream);
 }
 
-void http_server::close_idle_connections() {
+void http_server::close_idle_connections(duration min_age) {
     is_closing_ = true;
+    const time_point opened_until = steady_now() - min_age;
+    const std::scoped_lock lock{open_->mutex};
     for (const auto& [id, caller] : open_->connections) {
-        if (open_->policy.is_idle(id)) {
-            // A read that has already completed is not cancelled: its request is still served.
-            caller->stream().cancel();
-        }
+        asio::post(caller->stream().get_executor(), [open = open_, id = id, opened_until] {
+            const std::scoped_lock inner_lock{open->mutex};
+            const auto found = open->connections.find(id);
+            const bool is_closed = found != open->connections.end() && open->policy.is_idle(id) &&
+                                   found->second->opened_at() <= opened_until;
+            if (is_closed) {
+                // A request that has arrived is still read and served.
+                found->second->stream().cancel();
+            }
+        });
     }
 }
 
+bool http_server::is_drained() const {
+    const std::scoped_lock lock{open_->mutex};
+    // A connection that was accepted has a place, or waits for one, before it is registered.
+    const bool are_all_registered =
+        waiting_.count() == 0 && open_->policy.size() == open_->connections.size();
+    return !open_->is_accepting && are_all_registered &&
+           std::all_of(open_->connections.begin(), open_->connections.end(),
+                       [](const auto& item) { return item.second->is_ending(); });
+}
+
 asio::awaitable<bool> http_server::wait_until_taken(connection& caller) {
     const time_point deadline = steady_now() + limits_.write_timeout;
     asio::steady_timer timer{caller.stream().get_executor()};
--- a/modules/transport/include/lovageledge/transport/http_server.hpp
+++ b/modules/transport/include/lovageledge/transport/http_server.hpp
@@ -175,8 +175,20 @@
     /** Resets all open connections, as a restart of the process would. Thread-safe. */
     void reset_connections();
     /** Closes idle connections now and all others after their current response. New connections are still
-        accepted and serve one request each. Precondition: as for set_limits(). */
-    void close_idle_connections();
+        accepted and serve one request each. Thread-safe.
+        @param min_age connections that were accepted later than this long ago stay open */
+    void close_idle_connections(duration min_age = duration::zero());
+    /** Has the kernel drop new handshakes, where it can. Those that have begun still complete.
+        Thread-safe. */
+    void drop_new_handshakes();
+    /** Accepts the connections that the kernel has established, and stops accepting. Thread-safe. */
+    void accept_rest();
+    /** @returns false once the listener is closed and all accepted connections have their place. Thread-safe.
+     */
+    bool is_accepting() const { return open_->is_accepting; }
+    /** @returns true if no connection is accepted any more and none waits for a request or a response.
+        Thread-safe. */
+    bool is_drained() const;
     /** Sets the limits for subsequent requests. Precondition: the context runs on one thread only, and this
         is called on that thread. */
     void set_limits(const http_limits& limits);
@@ -196,6 +208,9 @@
        with its context. */
     struct connection_register {
         std::atomic<std::uint32_t> count{0};
+        std::atomic<bool> is_accepting{false};
+        /** Set by accept_rest(). */
+        std::atomic<bool> is_accepting_rest{false};
         /** Number of times that a connection was given up for the sake of others. */
         std::atomic<std::uint64_t> dropped{0};
         std::mutex mutex;
@@ -243,6 +258,7 @@
         ~connection();
 
         std::uint64_t id() const { return place_.id(); }
+        time_point opened_at() const { return opened_at_; }
         beast::tcp_stream& stream() { return stream_; }
         /** Received bytes that no request was read from yet. */
         beast::flat_buffer& buffer() { return buffer_; }
@@ -284,6 +300,9 @@
             Precondition: the register is locked. */
         void give_way(const char* cause);
         bool is_dropped() const { return drop_cause_ != nullptr; }
+        /** Called when no further request is read. */
+        void set_ending() { is_ending_ = true; }
+        bool is_ending() const { return is_ending_; }
         /** Keeps a connection for one request that arrived just when it was to be closed for another one.
             @returns false if it has to end */
         bool revive();
@@ -310,6 +329,7 @@
         std::size_t read_bytes_ = 0;
         /** nullptr unless the connection is closed for the sake of others. */
         std::atomic<const char*> drop_cause_{nullptr};
+        std::atomic<bool> is_ending_{false};
         /** Bytes of responses that the caller may not have taken yet. */
         std::size_t sent_bytes_ = 0;
         bool is_last_request_ = false;
@@ -319,6 +339,10 @@
     };
 
     asio::awaitable<void> accept_loop();
+    /** Accepts all connections that wait in the listen queue. @returns why it could not */
+    boost::system::error_code accept_waiting();
+    /** Serves a connection that was accepted, or refuses it if there is no place for it. */
+    void admit(asio::ip::tcp::socket socket, const asio::ip::tcp::endpoint& peer);
     asio::awaitable<void> serve_connection(asio::ip::tcp::socket socket, place own_place);
     /** Serves a new connection when others have given way for it. */
     asio::awaitable<void> serve_when_there_is_place(asio::ip::tcp::socket socket, std::string address,
@@ -367,7 +391,7 @@
     /** Accepted sockets have smaller descriptors while enough are left for files. */
     int descriptor_limit_ = 0;
     /** Set by close_idle_connections(): connections are closed after their current response. */
-    bool is_closing_ = false;
+    std::atomic<bool> is_closing_{false};
 };
 
 } // namespace lovageledge
--- a/tests/gateway/gateway_stop_test.cpp
+++ b/tests/gateway/gateway_stop_test.cpp
@@ -17,6 +17,8 @@
 class gateway_stop_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(gateway_stop_test);
     CPPUNIT_TEST(request_that_arrives_during_the_last_write_is_answered);
+    CPPUNIT_TEST(requests_that_arrive_while_the_process_is_suspended_at_the_end_of_its_stop_are_answered);
+    CPPUNIT_TEST(requests_that_arrive_while_the_process_is_suspended_past_its_limit_are_answered);
     CPPUNIT_TEST(request_that_does_not_end_in_time_gets_a_response_before_the_exit);
     CPPUNIT_TEST(late_request_that_may_outlast_the_instance_is_refused_as_not_run);
     CPPUNIT_TEST(stop_ends_within_its_limit_while_the_store_is_silent);
@@ -25,6 +27,8 @@
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint16_t caller_port = 20921;
+    /** After a stop began: no request was open when new connections were no longer expected. */
+    static constexpr auto just_before_the_end = milliseconds{3520};
 
     asio::io_context context_;
     asio::io_context caller_context_;
@@ -123,6 +127,57 @@
         return answer;
     }
 
+    /** Suspends a gateway from some time after its stop began, and sends requests meanwhile.
+        @returns the number of callers without a response when the process would end */
+    int unanswered_by_suspended_gateway(std::chrono::seconds stop_limit, milliseconds from, milliseconds to) {
+        constexpr int callers = 20;
+        gateway_settings limited = settings();
+        limited.stop_limit = stop_limit;
+        gateway target{context_, limited, platform::make_wire_codec(), port()};
+        error why;
+        CPPUNIT_ASSERT_MESSAGE(why.text(), target.start(why));
+        target.on_records_complete();
+        target.on_configuration(configuration());
+        target.on_server_list({});
+        std::thread gateway_thread{[this] { context_.run(); }};
+        const time_point began = std::chrono::steady_clock::now();
+        time_point ended;
+        asio::post(context_, [&] {
+            target.stop([&] {
+                ended = std::chrono::steady_clock::now();
+                context_.stop();
+            });
+        });
+        asio::steady_timer suspension{context_, began + from};
+        suspension.async_wait([&](boost::system::error_code) { std::this_thread::sleep_until(began + to); });
+        std::this_thread::sleep_until(began + from + milliseconds{50});
+        std::vector<blocking_connection> connections;
+        for (int i = 0; i < callers; ++i) {
+            connections.push_back(connect_to(caller_context_, caller_port));
+            connections.back().write("POST / HTTP/1.1\r\nHost: test\r\nX-Request-Id: 1\r\n"
+                                     "X-Deadline-Ms: 6000\r\nContent-Length: 0\r\n\r\n");
+        }
+        gateway_thread.join();
+        CPPUNIT_ASSERT(ended - began <= limited.stop_limit);
+        int unanswered = 0;
+        for (blocking_connection& caller : connections) {
+            caller.shut_down(); // As if the process ended here.
+            unanswered += caller.read_all().rfind("HTTP/1.1 503", 0) == 0 ? 0 : 1;
+        }
+        return unanswered;
+    }
+
+    // Connections in the listen queue were reset, since only accepted ones counted as busy (incident LOST).
+    void requests_that_arrive_while_the_process_is_suspended_at_the_end_of_its_stop_are_answered() {
+        CPPUNIT_ASSERT_EQUAL(0, unanswered_by_suspended_gateway(std::chrono::seconds{8}, just_before_the_end,
+                                                                milliseconds{4100}));
+    }
+
+    void requests_that_arrive_while_the_process_is_suspended_past_its_limit_are_answered() {
+        CPPUNIT_ASSERT_EQUAL(0, unanswered_by_suspended_gateway(std::chrono::seconds{5}, just_before_the_end,
+                                                                milliseconds{4700}));
+    }
+
     void request_that_does_not_end_in_time_gets_a_response_before_the_exit() {
         std::atomic<int> requests{0};
         scripted_server server{[&](blocking_connection& connection, int) {
