--- a/modules/service/instance.cpp
+++ b/modules/service/instance.cpp
@@ -77,9 +77,12 @@
     // The load balancer needs time to notice the stop; callers that it still sends here are served.
     timer.expires_after(settings_.balancer_lag);
     co_await timer.async_wait(asio::use_awaitable);
-    caller_server_.stop_accepting();
-    while ((!node_.is_drained() || caller_streams_.size() > 0) &&
-           now() - started_at < settings_.drain_limit) {
+    server_drain callers{caller_server_};
+    while (now() - started_at < settings_.drain_limit) {
+        const bool are_callers_drained = callers.advance(now());
+        if (are_callers_drained && node_.is_drained() && caller_streams_.size() == 0) {
+            break;
+        }
         timer.expires_after(tick_interval);
         co_await timer.async_wait(asio::use_awaitable);
     }
--- a/tests/process/test_processes.py
+++ b/tests/process/test_processes.py
@@ -3,6 +3,7 @@
 platform, and requests that crash an engine. No test asserts a latency.
 """
 import concurrent.futures
+import http.client
 import json
 import os
 import pathlib
@@ -252,6 +253,54 @@
         self.check_engines()
 
 
+class SuspendedStops(ProcessTest):
+    instance_count = 3
+    callers = 40
+    settings = {"coordination": {"request_life_limit_ms": 20000}, "stop": {"balancer_lag_ms": 1000}}
+
+    def open_connection(self, index):
+        host, _, port = self.deployment.caller_address(index).partition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=20)
+        connection.connect()
+        return connection
+
+    def send_request(self, connection, number):
+        body = json.dumps({"model": f"adapter-{number % 4}@v1", "prompt": f"prompt {number}", "max_tokens": 3})
+        connection.request("POST", "/v1/completions", body, {"Authorization": f"Bearer {CALLER_TOKEN}"})
+
+    @staticmethod
+    def read_status(connection):
+        """Returns the status of a complete response, or what prevented it."""
+        try:
+            response = connection.getresponse()
+            response.read()
+            return response.status
+        except (OSError, http.client.HTTPException) as exception:
+            return repr(exception)
+
+    # A stop closed the listener with callers in its queue, and ended with requests unread on connections that were open.
+    def test_requests_that_arrive_while_a_stopping_process_is_suspended_are_answered(self):
+        name = self.deployment.instances[0][0]
+        open_before = [self.open_connection(0) for _ in range(self.callers)]
+        for number, connection in enumerate(open_before):
+            self.send_request(connection, number)
+        self.assertEqual([200] * self.callers, [self.read_status(connection) for connection in open_before])
+        self.deployment.send_signal(name, signal.SIGTERM)
+        time.sleep(0.9)
+        self.deployment.send_signal(name, signal.SIGSTOP)
+        connections = [connection for connection in open_before if connection.sock is not None]
+        connections += [self.open_connection(0) for _ in range(self.callers)]
+        for number, connection in enumerate(connections):
+            self.send_request(connection, number)
+        time.sleep(1.0)
+        self.deployment.send_signal(name, signal.SIGCONT)
+        statuses = [self.read_status(connection) for connection in connections]
+        self.assertEqual([], [status for status in statuses if not isinstance(status, int)])
+        self.assertEqual(0, self.deployment.processes[name].wait(timeout=60))
+        print(f"{len(connections)} requests, statuses {sorted(set(statuses))}", flush=True)
+        self.check_engines()
+
+
 class Outages(ProcessTest):
     def test_platform_outage(self):
         self.assertEqual(200, self.complete(0, "before")[0])
