--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -254,11 +254,13 @@
         return;
     }
     state_.is_stopping = true;
-    state_.accept_all_until = state_.now() + accept_all_after_stop;
-    state_.answer_until = state_.now() + state_.settings.stop_limit - exit_reserve - last_answers_time;
+    // The platform counts the stop limit from when it has sent the signal.
+    const time_point began = loop_monitor_.earliest_arrival(state_.now());
+    state_.accept_all_until = began + accept_all_after_stop;
+    state_.answer_until = began + state_.settings.stop_limit - exit_reserve - last_answers_time;
     state_.log.write(event::instance_stopping, fmt::format("instance={}", state_.settings.name.text()));
     coordinator_.begin_stop();
-    asio::co_spawn(context_, stop_when_idle(std::move(on_stopped)), log_exception("gateway.stop"));
+    asio::co_spawn(context_, stop_when_idle(began, std::move(on_stopped)), log_exception("gateway.stop"));
 }
 
 asio::awaitable<void> gateway::wait_until(time_point limit, std::function<bool()> is_done,
@@ -298,8 +300,7 @@
                         drain_check_interval);
 }
 
-asio::awaitable<void> gateway::stop_when_idle(std::function<void()> on_stopped) {
-    const time_point stop_began = state_.now();
+asio::awaitable<void> gateway::stop_when_idle(time_point stop_began, std::function<void()> on_stopped) {
     const time_point limit = stop_began + state_.settings.stop_limit - exit_reserve;
     co_await wait_until(std::min(limit, stop_began + idle_close_delay), [] { return false; });
     caller_server_.close_idle_connections();
--- a/modules/gateway/include/lovageledge/gateway/gateway.hpp
+++ b/modules/gateway/include/lovageledge/gateway/gateway.hpp
@@ -83,7 +83,7 @@
     void end_requests();
     /** Answers what has arrived, closes the callers' connections and accepts no more. */
     asio::awaitable<void> drain_callers(time_point limit);
-    asio::awaitable<void> stop_when_idle(std::function<void()> on_stopped);
+    asio::awaitable<void> stop_when_idle(time_point stop_began, std::function<void()> on_stopped);
     void drop_server(const server_name& name);
 
     asio::io_context& context_;
--- a/modules/gateway/include/lovageledge/gateway/loop_monitor.hpp
+++ b/modules/gateway/include/lovageledge/gateway/loop_monitor.hpp
@@ -3,6 +3,7 @@
 #include "lovageledge/gateway/gateway_state.hpp"
 
 #include <boost/asio.hpp>
+#include <optional>
 
 namespace lovageledge {
 
@@ -14,12 +15,17 @@
 
     /** Starts to observe, until this object is destroyed. */
     void start() { schedule(); }
+    /** @returns the earliest time at which something that is noticed now may have arrived. Precondition:
+        start() was called. */
+    time_point earliest_arrival(time_point now) const;
 
 private:
     void schedule();
 
     boost::asio::steady_timer timer_;
     gateway_state& state_;
+    /** Nothing if the last check ran in time. */
+    std::optional<time_point> last_delay_began_;
 };
 
 } // namespace lovageledge
--- a/modules/gateway/loop_monitor.cpp
+++ b/modules/gateway/loop_monitor.cpp
@@ -20,6 +20,7 @@
             return;
         }
         const duration delay = std::chrono::steady_clock::now() - timer_.expiry();
+        last_delay_began_ = delay >= min_logged_delay ? std::optional{timer_.expiry()} : std::nullopt;
         state_.counters.observe("event_loop_delay_seconds", delay);
         if (delay >= min_logged_delay) {
             state_.log.write(event::event_loop_delayed,
@@ -32,4 +33,9 @@
     });
 }
 
+time_point loop_monitor::earliest_arrival(time_point now) const {
+    // The delay that has just ended, if its check ran first, or else the one that the check is still to find.
+    return std::min({now, last_delay_began_.value_or(now), timer_.expiry()});
+}
+
 } // namespace lovageledge
--- a/tests/gateway/gateway_stop_test.cpp
+++ b/tests/gateway/gateway_stop_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(request_that_does_not_end_in_time_gets_a_response_before_the_exit);
     CPPUNIT_TEST(late_request_that_may_outlast_the_instance_is_refused_as_not_run);
     CPPUNIT_TEST(stop_ends_within_its_limit_while_the_store_is_silent);
+    CPPUNIT_TEST(stop_that_is_noticed_late_ends_within_its_limit);
     CPPUNIT_TEST(start_waits_for_the_addresses_of_a_process_that_still_stops);
     CPPUNIT_TEST(metrics_address_in_use_does_not_prevent_a_start);
     CPPUNIT_TEST_SUITE_END();
@@ -70,7 +71,7 @@
         return result;
     }
 
-    static traffic_configuration configuration() {
+    static traffic_configuration configuration(duration route_timeout = std::chrono::seconds{3}) {
         traffic_configuration result;
         result.version = 1;
         route_rule route;
@@ -78,7 +79,7 @@
         route.host = "test";
         route.path_prefix = "/";
         route.kind = request_kind::unsafe;
-        route.timeout = std::chrono::seconds{3};
+        route.timeout = route_timeout;
         route.latency_target = std::chrono::seconds{1};
         route.services = {{pool_name{"pool"}, 1}};
         result.routes = {route};
@@ -231,6 +232,39 @@
         CPPUNIT_ASSERT(took <= limited.stop_limit);
     }
 
+    // A process that was suspended when its stop was requested served requests for longer than its limit, and
+    // was killed with them.
+    void stop_that_is_noticed_late_ends_within_its_limit() {
+        scripted_server server{[](blocking_connection& connection, int) {
+            while (!connection.read_message().empty()) {
+            }
+        }};
+        gateway_settings limited = settings();
+        limited.stop_limit = std::chrono::seconds{4};
+        gateway target{context_, limited, platform::make_wire_codec(), port()};
+        error why;
+        CPPUNIT_ASSERT_MESSAGE(why.text(), target.start(why));
+        target.on_records_complete();
+        target.on_configuration(configuration(std::chrono::seconds{30}));
+        target.on_server(listing(server));
+        target.on_server_list({server_name{"server"}});
+        std::thread gateway_thread{[this] { context_.run(); }};
+        blocking_connection caller = connect_to(caller_context_, caller_port);
+        caller.write("POST / HTTP/1.1\r\nHost: test\r\nX-Request-Id: 1\r\nX-Deadline-Ms: 20000\r\n"
+                     "Content-Length: 0\r\n\r\n");
+        std::this_thread::sleep_for(milliseconds{500});
+        asio::post(context_, [] { std::this_thread::sleep_for(milliseconds{1200}); });
+        std::this_thread::sleep_for(milliseconds{100});
+        const auto requested = std::chrono::steady_clock::now();
+        asio::post(context_, [&] { target.stop([this] { context_.stop(); }); });
+        gateway_thread.join();
+        const auto took = std::chrono::steady_clock::now() - requested;
+        caller.shut_down(); // As if the process ended here.
+        const std::string answer = caller.read_all();
+        CPPUNIT_ASSERT(took <= limited.stop_limit);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.rfind("HTTP/1.1 502", 0) == 0);
+    }
+
     // A process whose predecessor still held an address ended at once.
     void start_waits_for_the_addresses_of_a_process_that_still_stops() {
         for (const std::string& address :
