Test of planned work beside held-up processes, a slow store and silent servers

Change: unanswered_PlannedWork plays stops in turn, reloads with and without changes of the settings and growing configurations together, with streams, a store that answers after 0.2 s and servers that pause for up to 1.2 s.

--- a/tests/soak/test_unanswered_requests.py
+++ b/tests/soak/test_unanswered_requests.py
@@ -288,6 +288,63 @@
         self.assertGreater(sum(self.outcomes.values()), 300)
 
 
+class PlannedWork(UnansweredScenario):
+    async def reload_in_series(self, index):
+        """Changes a gateway's settings file, half of the time without a signal, and sends signals without a change."""
+        rng = random.Random(f"{SEED}-reload-{index}")
+        path = self.soak.folder / f"{self.soak.gateway_name(index)}.ini"
+        while True:
+            await asyncio.sleep(rng.uniform(0.1, 0.6))
+            if rng.random() < 0.5:
+                path.write_text(f"{path.read_text()}; {rng.random()}\n")
+            process = self.soak.processes[self.soak.gateway_name(index)]
+            # Until a process has installed its handler, the signal ends it.
+            if rng.random() < 0.5 and process.poll() is None and index not in self.starting:
+                process.send_signal(signal.SIGHUP)
+                self.reloads += 1
+
+    async def hold_up(self, index):
+        """Keeps a gateway from running for about as long as it takes to adopt a large configuration on a small share of a core."""
+        rng = random.Random(f"{SEED}-hold-up-{index}")
+        while True:
+            await asyncio.sleep(rng.uniform(0.5, 1.5))
+            if self.soak.processes[self.soak.gateway_name(index)].poll() is None:
+                await self.stop_for(index, rng.uniform(0.3, 0.5))
+
+    async def stop_in_turn(self):
+        for index in range(GATEWAYS):
+            name = self.soak.gateway_name(index)
+            process = self.soak.processes[name]
+            self.soak.expected_ends.add(name)
+            process.send_signal(signal.SIGTERM)
+            self.soak.stop_times[name] = time.monotonic()
+            self.assertEqual(0, await asyncio.to_thread(process.wait, GRACE_S))
+            self.starting.add(index)
+            self.soak.start_gateway(index)
+            await self.soak.wait_ready(index)
+            self.starting.remove(index)
+            self.restarts += 1
+
+    # A planned stop, a reload or a configuration broke off answers that had been passed on.
+    def test_stops_and_reloads_beside_large_configurations_a_slow_store_and_silent_servers(self):
+        self.reloads, self.starting = 0, set()
+
+        async def scenario():
+            for server in self.soak.servers.values():
+                server.silence = lambda: (self.rng.random(), self.rng.uniform(0.8, 1.2) if self.rng.random() < 0.3 else 0.0)
+            self.soak.store.response_delay_s = 0.2
+            tasks = [asyncio.create_task(self.grow_configuration())]
+            tasks += [asyncio.create_task(play(index)) for index in range(GATEWAYS) for play in (self.reload_in_series, self.hold_up)]
+            await self.stop_in_turn()
+            self.soak.store.response_delay_s = 0.0
+            await self.end_tasks(tasks)
+            await self.check_newest_configuration()
+        self.run_scenario(scenario, 90, 15000, ROUTE_TIMEOUT_MS, 0.5, ("/book/x", "/read/x", "/stream/x"))
+        self.assertGreater(self.outcomes.get(200, 0), 300)
+        self.assertEqual(GATEWAYS, self.restarts)
+        self.assertGreater(self.reloads, GATEWAYS)
+
+
 class SilentServers(UnansweredScenario):
     # A sound server that paused in the middle of an answer was given up, and the caller's connection closed.
     def test_servers_that_pause_in_the_middle_of_answers(self):
