--- a/modules/gateway/include/lovageledge/gateway/request_handler.hpp
+++ b/modules/gateway/include/lovageledge/gateway/request_handler.hpp
@@ -108,6 +108,9 @@
     std::string make_forwarded_head(const backend& server) const;
     /** Decides whether to retry; if so, spends from the retry budget and logs it. */
     bool try_retry(attempt_outcome result, const server_choice& last_choice);
+    /** Spends a retry for a stream whose server is silent. @returns false if no other server could go on with
+        it, so that giving this one up would only end the stream */
+    bool reserve_resumption();
     /** @returns when the caller must have a response at the latest */
     time_point answer_limit() const { return std::min(deadline_, state_.answer_until); }
     bool has_time_left() const {
@@ -178,6 +181,8 @@
     /** What was seen of the caller when it was taken to be gone. */
     socket_input caller_input_ = socket_input::none;
     bool is_ended_by_stop_ = false;
+    /** The next retry was spent by reserve_resumption(). */
+    bool has_reserved_retry_ = false;
     std::optional<response_head> error_response_head_;
     std::string error_response_body_;
     std::unique_ptr<memory_share> error_response_memory_;
--- a/modules/gateway/request_handler.cpp
+++ b/modules/gateway/request_handler.cpp
@@ -249,7 +249,8 @@
     if (may_have_run && (!route_->is_idempotent() || possible_runs_ >= route_->max_attempts)) {
         return false;
     }
-    if (!state_.retries.try_spend(work_.service, state_.now())) {
+    if (!std::exchange(has_reserved_retry_, false) &&
+        !state_.retries.try_spend(work_.service, state_.now())) {
         last_error_ += ", retry budget spent";
         return false;
     }
@@ -259,6 +260,22 @@
     return true;
 }
 
+bool request_handler::reserve_resumption() {
+    // Without an event id, another server would start from the beginning.
+    const bool can_continue = !has_stream_started_ || resume_after_ || !framer_.last_id().empty();
+    if (!can_continue || !has_time_left() || attempts_ >= max_server_attempts || is_quarantined()) {
+        return false;
+    }
+    selection_request elsewhere = work_;
+    elsewhere.excluded.insert(current_server_);
+    if (!state_.selector.pick(state_.directory, state_.versions, elsewhere, state_.now())) {
+        return false;
+    }
+    // Spent here, since several streams may come to their limits at the same time.
+    has_reserved_retry_ = state_.retries.try_spend(work_.service, state_.now());
+    return has_reserved_retry_;
+}
+
 asio::awaitable<std::optional<server_choice>> request_handler::select_server() {
     while (has_time_left()) {
         const placement place = co_await find_place();
@@ -786,13 +803,23 @@
     memory_share memory{state_.memory, memory_use::response, [connection] { connection->abort(); }};
     // Only complete events count as progress: a stalled server may still send a byte now and then.
     time_point last_progress = state_.now();
+    time_point silence_limit{};
+    const auto extend = [&]() -> std::optional<time_point> {
+        const time_point now = state_.now();
+        if (now >= deadline_ || reserve_resumption()) {
+            return std::nullopt;
+        }
+        silence_limit = now + stream_silence_timeout;
+        return std::min(deadline_, silence_limit);
+    };
     while (true) {
         time_point limit = deadline_;
         if (is_resumable && possible_runs_ < route_->max_attempts) {
-            limit = std::min(limit, last_progress + stream_silence_timeout);
+            silence_limit = std::max(silence_limit, last_progress + stream_silence_timeout);
+            limit = std::min(limit, silence_limit);
         }
         error failure;
-        const auto part = co_await connection->read_some(limit, failure);
+        const auto part = co_await connection->read_some(limit, failure, extend);
         if (!part || memory.is_cut()) {
             last_error_ = memory.is_cut() ? too_long_reason(memory) : failure.text();
             const bool is_suspicious =
--- a/modules/transport/forwarding_connection.cpp
+++ b/modules/transport/forwarding_connection.cpp
@@ -189,16 +189,19 @@
     co_return head;
 }
 
-asio::awaitable<std::optional<std::string_view>> forwarding_connection::read_some(time_point deadline,
-                                                                                  error& why) {
+asio::awaitable<std::optional<std::string_view>>
+forwarding_connection::read_some(time_point deadline, error& why, read_limit::extension extend) {
     while (!parser_->is_done()) {
+        if (has_passed(deadline) && extend) {
+            deadline = extend().value_or(deadline);
+        }
         if (has_passed(deadline)) {
             abort_at_deadline(why);
             co_return std::nullopt;
         }
         parser_->get().body().data = read_buffer_.data();
         parser_->get().body().size = read_buffer_.size();
-        limit_.start(deadline);
+        limit_.start(deadline, extend);
         boost::system::error_code code;
         co_await http::async_read_some(stream_, buffer_, *parser_,
                                        asio::redirect_error(asio::use_awaitable, code));
--- a/modules/transport/include/lovageledge/transport/forwarding_connection.hpp
+++ b/modules/transport/include/lovageledge/transport/forwarding_connection.hpp
@@ -53,9 +53,11 @@
     asio::awaitable<std::optional<response_head>> read_head(time_point deadline, error& why);
     /** Reads the next part of the body. A body that ends with its connection is complete once the server has
         taken the whole request too: one that ends before may have been cut.
+        @param extend asked for a later deadline when the one in force has passed; may be empty
         @returns an empty view at the end of the body, nothing on failure as for read_head(); the view stays
         valid until the next call */
-    asio::awaitable<std::optional<std::string_view>> read_some(time_point deadline, error& why);
+    asio::awaitable<std::optional<std::string_view>> read_some(time_point deadline, error& why,
+                                                               read_limit::extension extend = {});
 
     /** Closes the connection with a TCP reset, so that the server drops the request and unsent bytes are
         discarded. */
--- a/modules/transport/include/lovageledge/transport/read_limit.hpp
+++ b/modules/transport/include/lovageledge/transport/read_limit.hpp
@@ -3,7 +3,9 @@
 #include "lovageledge/base/base.hpp"
 #include "lovageledge/transport/network_types.hpp"
 
+#include <functional>
 #include <memory>
+#include <optional>
 
 namespace lovageledge {
 
@@ -21,7 +23,11 @@
     read_limit& operator=(const read_limit&) = delete;
     ~read_limit() = default;
 
-    void start(time_point limit);
+    /** Called when the limit has passed without input. @returns a later limit, or nothing if it holds */
+    using extension = std::function<std::optional<time_point>()>;
+
+    /** @param extend asked before operations are cancelled; may be empty */
+    void start(time_point limit, extension extend = {});
     void stop();
     /** @returns true if the limit has passed since start(), and operations were cancelled */
     bool has_passed() const { return has_passed_; }
@@ -34,6 +40,7 @@
 
     asio::ip::tcp::socket& socket_;
     asio::steady_timer timer_;
+    extension extend_;
     bool has_passed_ = false;
     bool has_given_way_ = false;
     /** Tells a handler that was queued already whether this object still exists. */
--- a/modules/transport/read_limit.cpp
+++ b/modules/transport/read_limit.cpp
@@ -2,9 +2,12 @@
 
 #include "lovageledge/transport/socket_input.hpp"
 
+#include <utility>
+
 namespace lovageledge {
 
-void read_limit::start(time_point limit) {
+void read_limit::start(time_point limit, extension extend) {
+    extend_ = std::move(extend);
     has_passed_ = false;
     has_given_way_ = false;
     timer_.expires_at(limit);
@@ -33,6 +36,12 @@
         wait();
         return;
     }
+    if (const auto later = extend_ ? extend_() : std::nullopt) {
+        has_given_way_ = false;
+        timer_.expires_at(*later);
+        wait();
+        return;
+    }
     has_passed_ = true;
     boost::system::error_code ignored;
     socket_.cancel(ignored);
--- a/tests/gateway/request_handler_test.cpp
+++ b/tests/gateway/request_handler_test.cpp
@@ -63,6 +63,9 @@
     CPPUNIT_TEST(broken_stream_is_resumed_after_its_last_event);
     CPPUNIT_TEST(stream_that_trickles_without_events_is_resumed_elsewhere);
     CPPUNIT_TEST(slow_stream_that_cannot_be_resumed_is_not_cut);
+    CPPUNIT_TEST(silent_stream_that_no_other_server_can_continue_is_not_cut);
+    CPPUNIT_TEST(silent_stream_without_event_ids_is_not_cut);
+    CPPUNIT_TEST(silent_stream_without_retry_budget_is_not_cut);
     CPPUNIT_TEST(request_of_a_caller_that_is_gone_is_not_sent);
     CPPUNIT_TEST(server_that_announces_its_leaving_gets_no_further_request);
     CPPUNIT_TEST(leaving_is_noticed_in_refusals_and_stream_heads);
@@ -1191,6 +1194,43 @@
         CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with(stream_end));
     }
 
+    /** @returns what the caller of a resumable stream receives whose server is silent for 2.8 s after the
+       first event */
+    std::string request_to_silent_server(const gateway_settings& given_settings,
+                                         const std::string& first_event, bool has_second_server) {
+        scripted_server server{[&](blocking_connection& connection, int) {
+            connection.read_message();
+            connection.write(stream_head("1") + chunk(first_event));
+            std::this_thread::sleep_for(milliseconds{2800});
+            connection.write(chunk(event(2)) + stream_end);
+            connection.read_message();
+        }};
+        const std::vector<const scripted_server*> servers(has_second_server ? 2 : 1, &server);
+        start(servers, given_settings);
+        std::string answer = request(stream_path, "1", 5000);
+        CPPUNIT_ASSERT_EQUAL(1, server.connections());
+        return answer;
+    }
+
+    // A server's silence of 2.5 s ended the stream where no other server could go on with it.
+    void silent_stream_that_no_other_server_can_continue_is_not_cut() {
+        const std::string answer = request_to_silent_server(settings(), event(1), false);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with(stream_end));
+    }
+
+    void silent_stream_without_event_ids_is_not_cut() {
+        const std::string answer = request_to_silent_server(settings(), "data: first\n\n", true);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with(stream_end));
+    }
+
+    void silent_stream_without_retry_budget_is_not_cut() {
+        gateway_settings without_budget = settings();
+        without_budget.retries.extra = 0;
+        without_budget.retries.ratio = 0;
+        const std::string answer = request_to_silent_server(without_budget, event(1), true);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with(stream_end));
+    }
+
     // The gateway did not run while the request arrived and its caller left, as after a freeze.
     void request_of_a_caller_that_is_gone_is_not_sent() {
         std::atomic<int> received{0};
