--- a/modules/transport/http_server.cpp
+++ b/modules/transport/http_server.cpp
@@ -786,12 +786,13 @@
     const time_point opened_until = steady_now() - min_age;
     const std::scoped_lock lock{open_->mutex};
     for (const auto& [id, caller] : open_->connections) {
-        asio::post(caller->stream().get_executor(), [open = open_, id = id, opened_until] {
+        if (!open_->policy.is_idle(id) || caller->opened_at() > opened_until) {
+            continue;
+        }
+        asio::post(caller->stream().get_executor(), [open = open_, id = id] {
             const std::scoped_lock inner_lock{open->mutex};
             const auto found = open->connections.find(id);
-            const bool is_closed = found != open->connections.end() && open->policy.is_idle(id) &&
-                                   found->second->opened_at() <= opened_until;
-            if (is_closed) {
+            if (found != open->connections.end() && open->policy.is_idle(id)) {
                 // A request that has arrived is still read and served.
                 found->second->stream().cancel();
             }
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -1,5 +1,6 @@
 """A simulation of the platform's metadata store by its published protocol: revisions, watches and conditional writes."""
 import asyncio
+import copy
 import json
 import urllib.parse
 
@@ -10,6 +11,7 @@
     """Objects by kind and name. The soak injects faults by setting attributes."""
 
     def __init__(self):
+        self.era = 1
         self.revision = 10
         self.objects = {}
         self.events = []
@@ -46,6 +48,16 @@
         async with self.changed:
             self.changed.notify_all()
 
+    def take_copy(self):
+        return copy.deepcopy((self.revision, self.objects, self.events, self.oldest_revision))
+
+    async def restore(self, copied):
+        """Loses all that was written since a copy was taken. The revisions after it are given out again."""
+        self.revision, self.objects, self.events, self.oldest_revision = copy.deepcopy(copied)
+        self.era += 1
+        async with self.changed:
+            self.changed.notify_all()
+
     async def _publish(self, kind, item, removed):
         self.events.append((self.revision, kind, {"object": item, "removed": removed}))
         if len(self.events) > MAX_HISTORY_EVENTS:
@@ -83,7 +95,8 @@
                 text = json.dumps(answer).encode()
                 for placeholder, raw in self.raw_values.items():
                     text = text.replace(f'"{placeholder}"'.encode(), raw.encode())
-                writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % (status, len(text)) + text)
+                writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nStore-Era: %d\r\nContent-Length: %d\r\n\r\n"
+                             % (status, self.era, len(text)) + text)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
@@ -127,7 +140,7 @@
     async def _watch(self, kind, revision, wait):
         end = asyncio.get_running_loop().time() + wait
         while True:
-            if revision < self.oldest_revision:
+            if not self.oldest_revision <= revision <= self.revision:
                 return 410, {}
             pending = [event for number, k, event in self.events if k == kind and number > revision]
             remaining = end - asyncio.get_running_loop().time()
