Review, stand-ins: descriptors as on the site, and a clean end

Tried: the cases with 1,024 descriptors for the shell, without the gateway's program, and with SIGTERM. Seen: the crowd of case 7 needs more than 1,024; a missing program left exit code 2 to chance. Follows: the case's process raises its own limit, a gateway gets 4,100, and all processes are ended in each of these.

--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import resource
 import shutil
 import signal
 import socket
@@ -18,6 +19,8 @@
 
 GATEWAY = ROOT / "target" / "bin" / "ledge-gateway"
 FIRST_PORT, LAST_PORT = 20000, 31000
+MAX_FDS = 4100           # Of a machine of the site mctpa-edge.
+CASE_FDS = 16384         # Of the case's own process, which plays callers and workers.
 HOST = "shop.example"
 
 
@@ -107,6 +110,12 @@
     return method, path, {k.lower(): v.strip() for k, v in (line.split(":", 1) for line in lines[1:] if ":" in line)}
 
 
+def limit_descriptors(count):
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    most = count if hard == resource.RLIM_INFINITY else min(count, hard)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
+
+
 class Gateway:
     """One process of the role "gateway"."""
 
@@ -115,7 +124,7 @@
         self.name, self.zone, self.folder = f"front-{zone}-{index}", zone, deployment.folder
         self.front, self.ready, self.peer, self.metrics = (f"127.0.0.1:{ports.take()}" for _ in range(4))
         self.port = int(self.front.split(":")[1])
-        self.memory_mb = memory_mb
+        self.memory_mb, self.process = memory_mb, None
         values = deployment.bounds
         self.path = self.folder / f"{self.name}.ini"
         self.path.write_text(
@@ -133,7 +142,7 @@
                        "LOVAGELEDGE_BOOT": str(self.path), "LEDGE_MEMORY_MB": str(self.memory_mb)}
         with open(self.folder / f"{self.name}.log", "ab") as log:
             self.process = subprocess.Popen([str(GATEWAY)], cwd=ROOT, env=environment, stdout=log, stderr=log,
-                                            start_new_session=True)
+                                            preexec_fn=lambda: limit_descriptors(MAX_FDS))
 
     def resident_mb(self, field="VmRSS"):
         try:
@@ -245,9 +254,10 @@
     def close(self):
         self.beating = False
         for gateway in self.gateways:
-            if gateway.process.poll() is None:
+            if gateway.process and gateway.process.poll() is None:
                 os.kill(gateway.process.pid, signal.SIGKILL)
-            gateway.process.wait()
+            if gateway.process:
+                gateway.process.wait()
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
@@ -255,6 +265,7 @@
     """Runs a case. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
     record = Record(pathlib.Path(folder) / "record.txt")
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    limit_descriptors(CASE_FDS)
     record.write(f"trouble: {has_trouble}")
 
     def interrupt(*_):
