Review, records: every request that was sent, answered and run

Seen: record.txt of cases 6, 7, 8 and 10 had sums for parts of what was sent, answered or run, and none had the orders. Follows: a line for each; no check, bound or disturbance is changed.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -65,7 +65,7 @@
         counter = iter(range(1000))
 
         async def add():
-            engine = CrashingEngine(f"i-{next(counter):04}", "writers", record, channels=360, records_runs=False)
+            engine = CrashingEngine(f"i-{next(counter):04}", "writers", record, channels=360)
             engine.begun, engine.on_crash, engine.may_crash = begun, on_crash, has_trouble
             await deployment.add_worker(engine)
 
@@ -91,9 +91,8 @@
             request_id = f"{kind}-{number:04}"
             gateway = gateways[number % 2]
             extra = f"X-Model: {MODEL}\r\nX-Token-Usage: 1360,20\r\nX-Prompt-Prefix: {prefix(request_id, kind == 'bad')}\r\n"
-            if kind == "bad":
-                record.write(f"caller sends {request_id} to {gateway.name}")
-            else:
+            record.write(f"caller sends {request_id} to {gateway.name}")
+            if kind == "sound":
                 sent.append((time.monotonic(), request_id))
             try:
                 reader, writer = await asyncio.open_connection(*gateway.front.split(":"))
--- a/review/standins-2/engine.py
+++ b/review/standins-2/engine.py
@@ -36,7 +36,10 @@
                                                 "sequence": self.orders, "waiting": 0, "running": 0, "kv_used": 0,
                                                 "kv_total": 253446, "handles": 0, "coming": []})
         elif path == "/order":
-            await self._send_json(writer, self._order(json.loads(body)), {})
+            order = json.loads(body)
+            status = self._order(order)
+            self.record.write(f"{self.name} answers {status} to the order {order}")
+            await self._send_json(writer, status, {})
         else:
             await self._generate(writer, headers, method, path)
 
