--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -2,9 +2,28 @@
 import asyncio
 import copy
 import json
+import re
 import urllib.parse
 
 MAX_HISTORY_EVENTS = 400
+MAX_PAGE_ITEMS, MAX_PAGE_BYTES = 3, 1_000_000  # Few items, so that most lists have several pages.
+TARGET = re.compile(rb"/(?:[!$&-;=?-Z_a-z~@]|%[0-9A-Fa-f]{2})*")  # RFC 3986, without a fragment.
+
+
+class BadRequest(Exception):
+    """A request line that is no HTTP/1.1."""
+
+
+def split_request_line(line):
+    """Returns the method and the target."""
+    words = line.split(b" ")
+    if len(words) != 3 or words[2] != b"HTTP/1.1" or not TARGET.fullmatch(words[1]):
+        raise BadRequest(line)
+    return words[0].decode(), words[1].decode()
+
+
+def encode(answer):
+    return json.dumps(answer, ensure_ascii=False).encode("utf-8", "surrogateescape")
 
 
 class Store:
@@ -24,6 +43,7 @@
         self.late_writes = set()
         self.raw_values = {}         # JSON text that replaces a string in responses, for what json.dumps() can't write.
         self.calls = 0
+        self.max_page_items = MAX_PAGE_ITEMS
 
     async def put(self, kind, name, spec):
         """Writes an object unconditionally. Returns its revision."""
@@ -73,7 +93,12 @@
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
-                method, target, _ = head.split(b"\r\n")[0].decode().split(" ")
+                try:
+                    method, target = split_request_line(head.split(b"\r\n")[0])
+                except BadRequest:
+                    writer.write(b"HTTP/1.1 400 X\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+                    await writer.drain()
+                    return
                 length = next((int(line.split(b":")[1]) for line in head.split(b"\r\n")
                                if line.lower().startswith(b"content-length:")), 0)
                 body = json.loads(await reader.readexactly(length)) if length else None
@@ -92,7 +117,7 @@
                 if method in ("PUT", "POST") and status == 200 and self.unanswered_writes > 0:
                     self.unanswered_writes -= 1
                     await asyncio.sleep(3600)
-                text = json.dumps(answer).encode()
+                text = encode(answer)
                 for placeholder, raw in self.raw_values.items():
                     text = text.replace(f'"{placeholder}"'.encode(), raw.encode())
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nStore-Era: %d\r\nContent-Length: %d\r\n\r\n"
@@ -114,14 +139,14 @@
 
     async def _handle(self, method, target, body):
         url = urllib.parse.urlsplit(target)
-        parts = url.path.strip("/").split("/")[1:]
-        query = dict(urllib.parse.parse_qsl(url.query))
+        # Names may be any bytes; those that are no UTF-8 become surrogates.
+        parts = [urllib.parse.unquote(part, errors="surrogateescape") for part in url.path.strip("/").split("/")[1:]]
+        query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True, errors="surrogateescape"))
         kind, name = parts[0], parts[1] if len(parts) > 1 else None
         if method == "GET" and "watch" in query:
             return await self._watch(kind, int(query["watch"]), int(query.get("wait_ms", 0)) / 1000)
         if method == "GET" and name is None:
-            items = [item for (k, _), item in sorted(self.objects.items()) if k == kind]
-            return 200, {"items": items, "more_pages": False, "as_of": self.revision}
+            return 200, self._page(kind, query.get("after", ""))
         name = name or body["metadata"]["name"]
         current = self.objects.get((kind, name))
         if method == "GET":
@@ -137,6 +162,17 @@
         await self.put(kind, name, body["spec"])
         return 200, self.objects[kind, name]
 
+    def _page(self, kind, after):
+        """Lists the objects whose names come after one, up to the limits of a page. A page has one object at least."""
+        remaining = [item for (k, name), item in sorted(self.objects.items()) if k == kind and (not after or name > after)]
+        items, size = [], 0
+        for item in remaining[:self.max_page_items]:
+            size += len(encode(item))
+            if items and size > MAX_PAGE_BYTES:
+                break
+            items.append(item)
+        return {"items": items, "more_pages": len(items) < len(remaining), "as_of": self.revision}
+
     async def _watch(self, kind, revision, wait):
         end = asyncio.get_running_loop().time() + wait
         while True:
