Store lists: a list that can't go on has failed

Cause: object_store::list() ended the loop with what it had when the page's last name was the former one, also if the response said that there are more pages; a page without objects ended it the same way. Pages in a circle would have been read for ever.

--- a/tests/gateway/store_pages_test.cpp
+++ b/tests/gateway/store_pages_test.cpp
@@ -13,6 +13,7 @@
 class store_pages_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(store_pages_test);
     CPPUNIT_TEST(list_continues_after_a_name_of_any_characters);
+    CPPUNIT_TEST(list_that_does_not_advance_is_not_complete);
     CPPUNIT_TEST_SUITE_END();
 
     struct item {
@@ -148,6 +149,22 @@
             }
         }
     }
+
+    // What had been read until then was taken for the whole list: the servers of the other pages were
+    // removed.
+    void list_that_does_not_advance_is_not_complete() {
+        const std::vector<std::string> pages{
+            R"({"items":[],"more_pages":true,"as_of":20})",
+            R"({"items":[)" + item_named("a").text + R"(],"more_pages":true,"as_of":20})",
+            R"({"items":[{"metadata":{"revision":12}}],"more_pages":true,"as_of":20})",
+            R"({"items":[)" + item_named("").text + R"(],"more_pages":true,"as_of":20})"};
+        for (const std::string& page : pages) {
+            const auto listed = list([&](const std::string&) {
+                return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", page.size(), page);
+            });
+            CPPUNIT_ASSERT_MESSAGE(page, !listed);
+        }
+    }
 };
 
 } // namespace
