Store lists: a name that is no text doesn't end a list

What callers saw: an object whose name is no UTF-8 stood alone on a page, or with others of its kind: 20 of 40 requests were served after a restart (odd_names, name 'odd\udcffx'), since the servers of later pages were missing. Cause: objects whose name can't be read are left out, and the next page was asked for after the last one that can; a page without any such object did not continue the list. Evidence: store_pages_test::list_continues_after_names_that_are_no_text failed with '"m\ud800" in pages of 1'. The object itself is still left out. Already handled, test kept: items that have no name, null, numbers or bytes in the place of an object (list_continues_after_items_without_a_name passed before). A page of nothing but such items can't be continued after, and fails the call; the store gives each object a name.

--- a/tests/gateway/store_pages_test.cpp
+++ b/tests/gateway/store_pages_test.cpp
@@ -14,6 +14,8 @@
     CPPUNIT_TEST_SUITE(store_pages_test);
     CPPUNIT_TEST(list_continues_after_a_name_of_any_characters);
     CPPUNIT_TEST(list_that_does_not_advance_is_not_complete);
+    CPPUNIT_TEST(list_continues_after_names_that_are_no_text);
+    CPPUNIT_TEST(list_continues_after_items_without_a_name);
     CPPUNIT_TEST_SUITE_END();
 
     struct item {
@@ -165,6 +167,44 @@
             CPPUNIT_ASSERT_MESSAGE(page, !listed);
         }
     }
+
+    // Objects whose names can't be read are left out, also where they end a page.
+    void list_continues_after_names_that_are_no_text() {
+        const std::vector<std::string> unreadable_names{R"("m\ud800")",
+                                                        R"("m)"
+                                                        "\xff"
+                                                        R"(")",
+                                                        R"("m)"
+                                                        "\xc3"
+                                                        R"(")",
+                                                        R"("m\u0041\udfffx")", "\"m\x01\""};
+        for (const std::string& name : unreadable_names) {
+            const std::string text = R"({"metadata":{"name":)" + name + R"(,"revision":12},"spec":{}})";
+            const std::vector<item> items{
+                item_named("a"), item_named("b"), {"m", text}, item_named("n"), item_named("z")};
+            for (const std::size_t page_size : {1, 2, 3}) {
+                const auto listed =
+                    list([&](const std::string& request) { return list_page(items, request, page_size); });
+                CPPUNIT_ASSERT_MESSAGE(name + " in pages of " + std::to_string(page_size),
+                                       (names_of(listed) == std::vector<std::string>{"a", "b", "n", "z"}));
+            }
+        }
+    }
+
+    void list_continues_after_items_without_a_name() {
+        for (const std::string item_text :
+             {R"({"metadata":{"revision":12},"spec":{}})", R"({"metadata":{"name":5,"revision":12}})",
+              R"({"metadata":"\xff"})", R"({"spec":{}})", "null", "5", R"("\xff")", "[]"}) {
+            const std::vector<item> items{
+                item_named("a"), {"b", item_text}, item_named("n"), item_named("z")};
+            for (const std::size_t page_size : {2, 3}) {
+                const auto listed =
+                    list([&](const std::string& request) { return list_page(items, request, page_size); });
+                CPPUNIT_ASSERT_MESSAGE(item_text + " in pages of " + std::to_string(page_size),
+                                       (names_of(listed) == std::vector<std::string>{"a", "n", "z"}));
+            }
+        }
+    }
 };
 
 } // namespace
--- a/tests/soak/test_odd_names.py
+++ b/tests/soak/test_odd_names.py
@@ -15,7 +15,7 @@
 KINDS = ["servers", "versions", "lovageledge", "config"]
 # Between the names of the engines and those of the plain servers, and before all others.
 MIDDLE_NAMES = ["odd&x", "odd+x", "odd#x", "odd%x", "odd%41x", "odd x", "odd?x", "odd=x", "odd/x", 'odd"x', "odd\\x", "odd;x", "odd,x",
-                "odd\tx", "odd\nx", "odd\r\nX-Y: z", "odd\0x", "odd\x7fx", "odd\u00e9x", "odd\u2028x", "odd\U0001f600x",
+                "odd\tx", "odd\nx", "odd\r\nX-Y: z", "odd\0x", "odd\x7fx", "odd\u00e9x", "odd\u2028x", "odd\U0001f600x", "odd\udcffx",
                 "odd&after=zzz", "odd&watch=1", "odd%00", "odd..", "odd HTTP/1.1"]
 FIRST_NAMES = ["&", "+", "#", "%", " ", "&x", "#x", "%zz", " x", "!"]
 
