Store objects: other metadata that can't be read leaves the object

What callers saw: nothing yet. An entry whose finalizers another writer had replaced by something that can't be parsed was left out of lists and changes, so that a sound server was not used, and a change or removal of it was not seen. Cause: decode_object() parsed all metadata to get the name and the revision.

--- a/tests/gateway/store_pages_test.cpp
+++ b/tests/gateway/store_pages_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(list_that_does_not_advance_is_not_complete);
     CPPUNIT_TEST(list_continues_after_names_that_are_no_text);
     CPPUNIT_TEST(list_continues_after_items_without_a_name);
+    CPPUNIT_TEST(other_metadata_that_cannot_be_read_leaves_the_object);
     CPPUNIT_TEST_SUITE_END();
 
     struct item {
@@ -205,6 +206,17 @@
             }
         }
     }
+
+    // The entry of a server stays usable.
+    void other_metadata_that_cannot_be_read_leaves_the_object() {
+        const std::string text =
+            R"({"metadata":{"name":"a","revision":12,"finalizers":[1e999]},"spec":{"x":1}})";
+        const auto listed = list([&](const std::string& request) {
+            return list_page({{"a", text}, item_named("b")}, request, 1);
+        });
+        CPPUNIT_ASSERT((names_of(listed) == std::vector<std::string>{"a", "b"}));
+        CPPUNIT_ASSERT(listed->objects.front().spec == nlohmann::json({{"x", 1}}));
+    }
 };
 
 } // namespace
