--- a/tests/soak/server.py
+++ b/tests/soak/server.py
@@ -89,6 +89,8 @@
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 method, path, headers = parse_head(head)
+                if "x-hold" in headers:
+                    self.observations.violations.append(f"{self.name} got {path} with X-Hold, which no gateway sets")
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
                 if path == "/order":
                     await self._respond(writer, headers, *await self._handle_order(json.loads(body)))
--- a/tests/soak/test_odd_names.py
+++ b/tests/soak/test_odd_names.py
@@ -64,9 +64,9 @@
     async def served(self):
         return sum(await asyncio.gather(*[self.send_request(number) for number in range(REQUESTS)]))
 
-    async def check(self, kind, name):
+    async def check(self, kind, name, spec):
         """Restarts all gateways beside an object. Returns what was lost by it, and the number of requests that were served."""
-        await self.soak.store.put(kind, name, {"note": "of another writer"})
+        await self.soak.store.put(kind, name, spec)
         await self.restart_gateways()
         served = await self.served()
         failures = [f"{served} of {REQUESTS} requests served"] if served < REQUESTS else []
@@ -77,7 +77,7 @@
         await self.soak.store.remove(kind, name)
         return failures, served
 
-    def run_names(self, kinds, names):
+    def run_names(self, kinds, names, is_copy_of_server=False):
         self.sent, failures, report = 0, [], []
 
         async def scenario():
@@ -87,7 +87,11 @@
             self.assertEqual(REQUESTS, await self.served(), "requests served before there is such an object")
             for kind in kinds:
                 for name in names:
-                    lost, served = await self.check(kind, name)
+                    spec = {"note": "of another writer"}
+                    if is_copy_of_server:
+                        server = self.soak.servers[min(self.soak.servers)]
+                        spec = server.entry(server.address)
+                    lost, served = await self.check(kind, name, spec)
                     report.append(f"{kind} {name!r}: {100 * served // REQUESTS} % served; {'; '.join(lost) or 'nothing lost'}")
                     failures.extend(f"{kind}/{name!r}: {loss}" for loss in lost)
         self.run_soak(scenario)
@@ -101,6 +105,9 @@
     def test_names_before_servers(self):
         self.run_names(["servers"], FIRST_NAMES)
 
+    def test_entries_at_the_address_of_a_server(self):
+        self.run_names(["servers"], ["odd\r\nX-Hold: 1", "odd\nX-Hold: 1", "odd\tx", "odd x", " odd", "odd,x"], is_copy_of_server=True)
+
     def test_other_kinds(self):
         self.run_names(KINDS[1:], ["&", "# x", "%zz", " x"])
 
