Event streams: an id with control characters is not sent in a header

What callers saw: nothing yet. A server whose event id has a carriage return within it (or NUL, or others) and that broke off afterwards had that id sent to the next server in Last-Event-Id: a further header, or a malformed one. Cause: event_framer took any text behind 'id:' up to the line feed. Evidence: event_framer_test::stream_is_not_resumed_after_an_id_with_control_characters failed; last_id() was '2<CR>X-Hold: 1'. Why it works: after such an event no id is known, and a stream without one is not resumed, as before: it ends broken off rather than joined wrongly. A resumed run whose first event has such an id is refused, and the former id stays.

--- a/modules/serving/event_framer.cpp
+++ b/modules/serving/event_framer.cpp
@@ -39,6 +39,13 @@
     return std::max(lf_end, crlf_end);
 }
 
+bool has_control_character(std::string_view text) {
+    return std::any_of(text.begin(), text.end(), [](char character) {
+        const auto code = static_cast<unsigned char>(character);
+        return code < 0x20 || code == 0x7f;
+    });
+}
+
 std::optional<std::uint64_t> parse_id(std::string_view text) {
     std::uint64_t value = 0;
     const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -63,6 +70,14 @@
 }
 
 bool event_framer::accept_id(std::string_view id) {
+    if (has_control_character(id)) {
+        if (must_continue_) {
+            last_reason_ = "the stream was resumed with an event whose id has control characters";
+            return false;
+        }
+        last_id_.clear(); // It can't be sent in a header.
+        return true;
+    }
     const auto last = parse_id(last_id_);
     const auto next = parse_id(id);
     const bool are_numbers = last && next;
--- a/modules/serving/event_framer_test.cpp
+++ b/modules/serving/event_framer_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(last_event_may_have_a_smaller_step);
     CPPUNIT_TEST(ids_that_are_no_numbers_must_differ);
     CPPUNIT_TEST(run_without_further_events_is_complete);
+    CPPUNIT_TEST(stream_is_not_resumed_after_an_id_with_control_characters);
     CPPUNIT_TEST_SUITE_END();
 
     event_framer framer_;
@@ -68,6 +69,23 @@
         break_after("id: 1\n\n");
         CPPUNIT_ASSERT_EQUAL(std::string{}, *framer_.finish());
     }
+
+    // The last id is sent in a header of the request that resumes the stream.
+    void stream_is_not_resumed_after_an_id_with_control_characters() {
+        const std::vector<std::string> ids{"2\rX-Hold: 1", std::string{"2\0", 2}, "2\x01", "2\x7f", "\r2"};
+        for (const std::string& id : ids) {
+            event_framer framer;
+            framer.begin_run();
+            const std::string events = "id: 1\n\nid: " + id + "\n\n";
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(id, events, framer.append(events).value_or(""));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(id, std::string{}, framer.last_id());
+            framer.append("id: 3\n\n");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(id, std::string{"3"}, framer.last_id());
+        }
+        break_after("id: 1\n\n");
+        CPPUNIT_ASSERT(!framer_.append("id: 2\x01\n\n"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"1"}, framer_.last_id());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(event_framer_test);
--- a/modules/serving/include/lovageledge/serving/event_framer.hpp
+++ b/modules/serving/include/lovageledge/serving/event_framer.hpp
@@ -32,7 +32,8 @@
     bool is_between_events() const { return has_event_ && partial_.empty(); }
     /** @returns the size of the event that has begun and is not complete */
     std::size_t incomplete_bytes() const { return partial_.size(); }
-    /** @returns the last event id in the complete events so far, or an empty string */
+    /** @returns the last event id in the complete events so far; empty if there is none, or if it has control
+        characters, so that no other run can continue after it */
     const std::string& last_id() const { return last_id_; }
     /** @returns why append() or finish() last returned nothing */
     const std::string& last_reason() const { return last_reason_; }
