Object paths: names are percent-encoded

What callers saw: nothing yet. With an instance or data centre of such a name a gateway could not register, or wrote another object; ledged could not own a backend server whose name in the sheet has a blank, ?, # or a line break. Names come from settings (gateway., orders., crashes. records) and from operators' sheets (ownership); those of claims and revisions are digests. Evidence: object_paths_test failed: '/objects/kind/a' and '/objects/ownership/a' instead of the encoded names. Why it works: one function encodes them, percent_encoded(), tested on every byte. It replaces the one in the command line (programs/ledge), which escaped the same bytes but for ~.

--- a/modules/service/platform_client.cpp
+++ b/modules/service/platform_client.cpp
@@ -1,5 +1,7 @@
 #include "lovageledge/service/platform_client.hpp"
 
+#include "lovageledge/transport/percent_encoding.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace lovageledge {
@@ -34,7 +36,7 @@
 }
 
 http_request platform_client::make_request(const call_platform& command) {
-    const std::string path = "/objects/" + command.kind + "/" + command.name;
+    const std::string path = "/objects/" + command.kind + "/" + percent_encoded(command.name);
     const std::string version = "if_version=" + std::to_string(command.if_version);
     switch (command.operation) {
     case platform_operation::get:
--- a/modules/transport/include/lovageledge/transport/transport.hpp
+++ b/modules/transport/include/lovageledge/transport/transport.hpp
@@ -8,4 +8,5 @@
 #include "lovageledge/transport/http_server.hpp"
 #include "lovageledge/transport/log_exception.hpp"
 #include "lovageledge/transport/peer_socket.hpp"
+#include "lovageledge/transport/percent_encoding.hpp"
 #include "lovageledge/transport/server_drain.hpp"
--- a/programs/ledge/main.cpp
+++ b/programs/ledge/main.cpp
@@ -42,20 +42,6 @@
     std::string apply_id;
 };
 
-std::string percent_encode(const std::string& text) {
-    std::string encoded;
-    for (const unsigned char byte : text) {
-        if (std::isalnum(byte) != 0 || byte == '-' || byte == '_' || byte == '.') {
-            encoded.push_back(static_cast<char>(byte));
-        } else {
-            char escape[4];
-            std::snprintf(escape, sizeof escape, "%%%02X", byte);
-            encoded += escape;
-        }
-    }
-    return encoded;
-}
-
 /** Sends one request on a connection of its own.
     @param response left empty on failure @param failure receives the reason */
 asio::awaitable<void> exchange_request(const command_options& options, http_request request,
@@ -165,10 +151,10 @@
     if (options.apply_id.empty()) {
         options.apply_id = random_identifier();
     }
-    const std::string target = "/admin/sheet?apply_id=" + percent_encode(options.apply_id) +
+    const std::string target = "/admin/sheet?apply_id=" + percent_encoded(options.apply_id) +
                                "&based_on=" + std::to_string(*options.based_on) +
-                               "&author=" + percent_encode(options.author) +
-                               "&reason=" + percent_encode(options.reason);
+                               "&author=" + percent_encoded(options.author) +
+                               "&reason=" + percent_encoded(options.reason);
     const auto response = send_request(options, http::verb::post, target, *sheet);
     const int status = print_response(options, response, [](const json& body) {
         const json& record = body["in_force"];
@@ -238,7 +224,7 @@
 int show_request_decisions(const command_options& options) {
     return print_response(
         options,
-        send_request(options, http::verb::get, "/admin/why?request=" + percent_encode(options.requested_id)),
+        send_request(options, http::verb::get, "/admin/why?request=" + percent_encoded(options.requested_id)),
         [](const json& body) {
             for (const json& decision : body) {
                 std::printf("%s\n", decision.get<std::string>().c_str());
