Tests: servers stay in use while lists can't go on; headers of answers

Cause: the correction of lists that can't go on was shown for the list alone, and one place where a text of an answer goes on, the headers of a server's response, had no test with control characters.

--- a/tests/gateway/incomplete_responses_test.cpp
+++ b/tests/gateway/incomplete_responses_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(response_with_a_length_is_complete_though_the_request_was_not_taken);
     CPPUNIT_TEST(statuses_that_http_does_not_have_are_no_response);
     CPPUNIT_TEST(contradictory_framing_is_no_response);
+    CPPUNIT_TEST(header_fields_hold_no_control_characters);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t upload_bytes = std::size_t{3} * 1024 * 1024;
@@ -165,6 +166,22 @@
         }
     }
 
+    void header_fields_hold_no_control_characters() {
+        for (const std::string& field :
+             {std::string{"X-A: a\rX-Hold: b"}, std::string{"X-A: a\nX-Hold: b"}, std::string{"X-A: a\0b", 8},
+              std::string{"X-A: a\x01"}, std::string{"X-A: a\x7f"}, std::string{"X-A: a\r\n\tfolded"},
+              std::string{"X A: a"}, std::string{"X-A\r: a"}}) {
+            const observation seen =
+                observe_response("HTTP/1.1 200 OK\r\n" + field + "\r\nContent-Length: 2\r\n\r\nok");
+            for (const http_header& header : seen.head ? seen.head->headers : std::vector<http_header>{}) {
+                const bool is_text = std::none_of(header.value.begin(), header.value.end(),
+                                                  [](unsigned char c) { return c < 0x20 || c == 0x7f; });
+                CPPUNIT_ASSERT_MESSAGE(field, is_text);
+                CPPUNIT_ASSERT_MESSAGE(field, header.name != "X-Hold");
+            }
+        }
+    }
+
     // What such a body is depends on which of its fields is believed.
     void contradictory_framing_is_no_response() {
         for (const char* fields :
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -44,6 +44,7 @@
         self.raw_values = {}         # JSON text that replaces a string in responses, for what json.dumps() can't write.
         self.calls = 0
         self.max_page_items = MAX_PAGE_ITEMS
+        self.repeats_first_page = False  # Lists get their first page again and again.
 
     async def put(self, kind, name, spec):
         """Writes an object unconditionally. Returns its revision."""
@@ -164,6 +165,8 @@
 
     def _page(self, kind, after):
         """Lists the objects whose names come after one, up to the limits of a page. A page has one object at least."""
+        if self.repeats_first_page:
+            after = ""
         remaining = [item for (k, name), item in sorted(self.objects.items()) if k == kind and (not after or name > after)]
         items, size = [], 0
         for item in remaining[:self.max_page_items]:
--- a/tests/soak/test_odd_names.py
+++ b/tests/soak/test_odd_names.py
@@ -12,6 +12,7 @@
 
 GATEWAYS, REQUESTS = 2, 40
 RECOVERY_S = 12.0  # After this time, the gateways must serve again.
+LIST_S = 4.0  # Watches that wait have ended, and the kinds have been listed, after this time.
 LOG_LINE = re.compile(rb"\d{4}-\d\d-\d\dT[\d:.]+Z \w+ [^\x00-\x1f\x7f]*$")
 KINDS = ["servers", "versions", "lovageledge", "config"]
 # Between the names of the engines and those of the plain servers, and before all others.
@@ -118,6 +119,27 @@
     def test_other_kinds(self):
         self.run_names(KINDS[1:], ["&", "# x", "%zz", " x"])
 
+    def test_servers_stay_in_use_while_lists_cannot_go_on(self):
+        self.sent = 0
+
+        async def scenario():
+            self.soak.store.max_page_items = 1
+            await asyncio.sleep(2.0)
+            await self.served()
+            self.soak.store.repeats_first_page = True
+            await self.soak.store.compact()  # The gateways must list all kinds again.
+            await asyncio.sleep(LIST_S)
+            self.assertEqual(REQUESTS, await self.served(), "requests served while lists can't go on")
+            self.soak.store.repeats_first_page = False
+            await asyncio.sleep(LIST_S)
+            self.assertEqual(REQUESTS, await self.served(), "requests served afterwards")
+            for index in range(GATEWAYS):
+                text = self.log_path(index).read_text()
+                self.assertRegex(text, "dependency_lost .*a page of kind servers does not continue the list")
+                self.assertRegex(text, "dependency_regained .*kind=servers")
+        self.run_soak(scenario)
+        self.assertEqual([], self.soak.observations.violations)
+
 
 if __name__ == "__main__":
     unittest.main()
