Test of object paths: targets are recorded under a lock

Cause: object_paths_test appended to one vector from the threads of several connections without a lock, found by reading; no run has failed of it. The checks are unchanged.

--- a/tests/gateway/object_paths_test.cpp
+++ b/tests/gateway/object_paths_test.cpp
@@ -4,6 +4,7 @@
 #include "scripted_server.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <mutex>
 #include <spdlog/fmt/fmt.h>
 
 namespace lovageledge {
@@ -23,10 +24,12 @@
     template <typename Call>
     static std::vector<std::string> targets_of(Call call) {
         std::vector<std::string> targets;
+        std::mutex mutex; // Each connection has a thread.
         {
             const scripted_server server{[&](blocking_connection& connection, int) {
                 for (std::string request; !(request = connection.read_message()).empty();) {
                     const std::string line = request.substr(0, request.find("\r\n"));
+                    const std::scoped_lock lock{mutex};
                     targets.push_back(line.substr(line.find(' ') + 1, line.rfind(' ') - line.find(' ') - 1));
                     connection.write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
                 }
